Serve a chat end to end: router, sidecar, wire, stand-ins, command line

Cause: the repository was empty; everything later needs a whole path to build on.

No test yet; they follow.

--- /dev/null
+++ b/forkseam-bench/src/main/java/org/forkseam/bench/Operator.java
@@ -0,0 +1,59 @@
+package org.forkseam.bench;
+
+import org.forkseam.cli.CliMain;
+import org.forkseam.daemon.Daemon;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+/** Drives a fleet through the operators' command line. */
+public final class Operator {
+    private final Map<String, String> mEnvironment;
+
+    private Operator(Map<String, String> environment) {
+        mEnvironment = environment;
+    }
+
+    /** Holds what a command printed and its exit code. */
+    public record Result(int code, String out, String err) {}
+
+    /** Creates an operator who talks to one daemon. */
+    public static Operator of(Daemon daemon) {
+        return new Operator(
+                Map.of(
+                        "FORKSEAM_ADDRESS",
+                        LocalFleet.text(daemon.operatorsAddress()),
+                        "FORKSEAM_KEY",
+                        LocalFleet.OPERATORS_KEY));
+    }
+
+    /** Runs a command. */
+    public Result run(String... args) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        ByteArrayOutputStream err = new ByteArrayOutputStream();
+        int code =
+                CliMain.run(
+                        args,
+                        mEnvironment,
+                        new PrintStream(out, true, StandardCharsets.UTF_8),
+                        new PrintStream(err, true, StandardCharsets.UTF_8));
+        return new Result(
+                code, out.toString(StandardCharsets.UTF_8), err.toString(StandardCharsets.UTF_8));
+    }
+
+    /** Applies a configuration given as INI text. */
+    public Result apply(String ini) throws IOException {
+        Path file = Files.createTempFile("forkseam", ".ini");
+        try {
+            Files.writeString(file, ini);
+            return run("apply", "-f", file.toString());
+        } finally {
+            Files.delete(file);
+        }
+    }
+}
--- /dev/null
+++ b/forkseam-bench/src/main/java/org/forkseam/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Whole fleets on one machine against the stand-ins: for the try-out, tests and measurements. */
+package org.forkseam.bench;
--- /dev/null
+++ b/forkseam-cli/src/main/java/org/forkseam/cli/ExitCode.java
@@ -0,0 +1,11 @@
+package org.forkseam.cli;
+
+/** Names the exit codes of the command line. */
+final class ExitCode {
+    static final int DONE = 0;
+    static final int REFUSED = 1;
+    static final int USAGE = 2;
+    static final int UNREACHABLE = 3;
+
+    private ExitCode() {}
+}
--- /dev/null
+++ b/forkseam-cli/src/main/java/org/forkseam/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.forkseam.cli;
--- /dev/null
+++ b/forkseam-core/src/main/java/org/forkseam/core/answer/package-info.java
@@ -0,0 +1,2 @@
+/** Whole answers out of frames. */
+package org.forkseam.core.answer;
--- /dev/null
+++ b/forkseam-core/src/main/java/org/forkseam/core/label/package-info.java
@@ -0,0 +1,2 @@
+/** Labels and the selectors that choose by them. */
+package org.forkseam.core.label;
--- /dev/null
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/package-info.java
@@ -0,0 +1,2 @@
+/** Which targets there are and how they fare. */
+package org.forkseam.core.member;
--- /dev/null
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/package-info.java
@@ -0,0 +1,2 @@
+/** Where a request goes: homes, tickets, scores and the order of tries. */
+package org.forkseam.core.route;
--- /dev/null
+++ b/forkseam-core/src/main/java/org/forkseam/core/util/Hashes.java
@@ -0,0 +1,42 @@
+package org.forkseam.core.util;
+
+import net.openhft.hashing.LongHashFunction;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** Gives the hashes that all daemons must compute alike. */
+public final class Hashes {
+    private static final LongHashFunction XX = LongHashFunction.xx();
+
+    private Hashes() {}
+
+    /** Returns the 64-bit hash of a text. */
+    public static long of(String text) {
+        return XX.hashChars(text);
+    }
+
+    /** Returns the 64-bit hash of bytes. */
+    public static long of(byte[] bytes) {
+        return XX.hashBytes(bytes);
+    }
+
+    /** Returns a hash that depends on both values and their order. */
+    public static long mix(long a, long b) {
+        long h = (a ^ (b + 0x9E3779B97F4A7C15L + (a << 6) + (a >>> 2))) * 0xBF58476D1CE4E5B9L;
+        h = (h ^ (h >>> 27)) * 0x94D049BB133111EBL;
+        return h ^ (h >>> 31);
+    }
+
+    /** Returns SHA-256 of a text in lower-case hexadecimal. */
+    public static String sha256(String text) {
+        try {
+            MessageDigest d = MessageDigest.getInstance("SHA-256");
+            return HexFormat.of().formatHex(d.digest(text.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/forkseam-core/src/main/java/org/forkseam/core/util/package-info.java
@@ -0,0 +1,2 @@
+/** The clock and the hashes. */
+package org.forkseam.core.util;
--- /dev/null
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/Daemon.java
@@ -0,0 +1,313 @@
+package org.forkseam.daemon;
+
+import io.activej.eventloop.Eventloop;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+
+import org.forkseam.core.util.Clock;
+import org.forkseam.daemon.admin.AdminApi;
+import org.forkseam.daemon.admin.Explainer;
+import org.forkseam.daemon.cfg.SettingKey;
+import org.forkseam.daemon.cfg.Settings;
+import org.forkseam.daemon.kernel.Kernel;
+import org.forkseam.daemon.net.Links;
+import org.forkseam.daemon.router.Router;
+import org.forkseam.daemon.share.ConfigAuthor;
+import org.forkseam.daemon.share.ConfigStore;
+import org.forkseam.daemon.share.DecisionLog;
+import org.forkseam.daemon.share.Fleet;
+import org.forkseam.daemon.share.FleetSync;
+import org.forkseam.daemon.sidecar.ClaimStore;
+import org.forkseam.daemon.sidecar.Claims;
+import org.forkseam.daemon.sidecar.HttpTargetClient;
+import org.forkseam.daemon.sidecar.Sidecar;
+import org.forkseam.daemon.sidecar.SidecarCounters;
+import org.forkseam.platform.http.Http;
+import org.forkseam.platform.http.HttpHostList;
+import org.forkseam.platform.http.HttpObjectStore;
+import org.forkseam.platform.http.HttpTableService;
+import org.forkseam.wire.WireIdentity;
+import org.forkseam.wire.WireSettings;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.Channel;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.random.RandomGenerator;
+
+/**
+ * Is one daemon, put together from its settings: an event loop and the services on it.
+ *
+ * <p>Start and stop are called from a thread that is not the event loop.
+ *
+ * @since 0.1
+ */
+public final class Daemon {
+    private final Settings mSettings;
+    private final Clock mClock = Clock.system();
+    private final Eventloop mLoop;
+    private final Kernel mKernel;
+    private final PrometheusMeterRegistry mRegistry =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final RandomGenerator mRandom;
+    private final long mIncarnation;
+    private final Fleet mFleet = new Fleet();
+    private final Http mHttp;
+    private final HttpTableService mTable;
+    private final Links mLinks;
+    private final FleetSync mSync;
+    private final ConfigStore mConfigStore;
+    private Router mRouter;
+    private Sidecar mSidecar;
+    private AdminApi mAdmin;
+    private Thread mThread;
+
+    private Daemon(Settings settings, RandomGenerator random) {
+        mSettings = settings;
+        mRandom = random;
+        mIncarnation = mClock.nowMillis();
+        mLoop = Eventloop.builder().withThreadName("loop-" + host()).build();
+        mKernel = Kernel.of(settings.integer(SettingKey.STOP_MILLIS));
+        mHttp = Http.of(mLoop, Duration.ofMillis(settings.integer(SettingKey.PLATFORM_MILLIS)));
+        mTable = HttpTableService.of(mHttp, settings.text(SettingKey.TABLE_SERVICE));
+        mConfigStore =
+                ConfigStore.of(
+                        mTable, HttpObjectStore.of(mHttp, settings.text(SettingKey.OBJECT_STORE)));
+        mLinks = Links.of(mLoop, wire(), settings.address(SettingKey.WIRE_LISTEN));
+        mSync = sync();
+        build();
+    }
+
+    /** Puts a daemon together; nothing runs yet. */
+    public static Daemon of(Settings settings, RandomGenerator random) {
+        return new Daemon(settings, random);
+    }
+
+    // ---------------------------------------------------------------- construction
+
+    private String host() {
+        return mSettings.text(SettingKey.HOST);
+    }
+
+    private WireSettings wire() {
+        String target = mSettings.optional(SettingKey.TARGET_NAME).orElse("");
+        WireIdentity id =
+                WireIdentity.of(
+                        host(),
+                        mSettings.text(SettingKey.ROLE),
+                        target,
+                        mIncarnation,
+                        mSettings.text(SettingKey.WIRE_KEY));
+        WireSettings w = WireSettings.of(id);
+        Optional<String> certificate = mSettings.optional(SettingKey.TLS_CERTIFICATE);
+        if (certificate.isEmpty()) {
+            return w;
+        }
+        return w.withTls(
+                new WireSettings.Tls(
+                        certificate.get(),
+                        mSettings.text(SettingKey.TLS_KEY),
+                        mSettings.text(SettingKey.TLS_AUTHORITY)));
+    }
+
+    private FleetSync sync() {
+        return FleetSync.of(
+                mLoop,
+                mClock,
+                mFleet,
+                new FleetSync.Sources(
+                        HttpHostList.of(mHttp, mSettings.text(SettingKey.HOST_LIST)),
+                        mConfigStore,
+                        mLinks),
+                new FleetSync.Pace(
+                        mSettings.integer(SettingKey.HOST_LIST_MILLIS),
+                        mSettings.integer(SettingKey.CONFIG_MILLIS)),
+                host(),
+                mRandom);
+    }
+
+    private void build() {
+        new JvmMemoryMetrics().bindTo(mRegistry);
+        mRegistry
+                .more()
+                .counter(
+                        "forkseam.control.bytes",
+                        List.of(),
+                        mLinks.counters(),
+                        c -> c.controlBytes());
+        mRegistry
+                .more()
+                .counter(
+                        "forkseam.wire.rejected.peers",
+                        List.of(),
+                        mLinks.counters(),
+                        c -> c.rejectedPeers());
+        mRegistry
+                .more()
+                .counter(
+                        "forkseam.wire.malformed",
+                        List.of(),
+                        mLinks.counters(),
+                        c -> c.malformed());
+        mRegistry.gauge("forkseam.config.version", mFleet, f -> f.config().version());
+        mKernel.add(mLinks).add(mSync);
+        DecisionLog decisions;
+        if (mSettings.isRouter()) {
+            mRouter = router();
+            mKernel.add(mRouter);
+            decisions = mRouter.decisions();
+        } else {
+            mSidecar = sidecar();
+            mKernel.add(mSidecar);
+            decisions = mSidecar.decisions();
+        }
+        mAdmin = admin(decisions);
+        mKernel.add(mAdmin);
+    }
+
+    private Router router() {
+        Router.Config config =
+                new Router.Config(
+                        host(),
+                        mIncarnation,
+                        mSettings.address(SettingKey.CALLERS_LISTEN),
+                        mSettings.integer(SettingKey.MAX_BODY_BYTES),
+                        Duration.ofMillis(mSettings.integer(SettingKey.REQUEST_MILLIS)),
+                        mSettings.text(SettingKey.TICKET_KEY),
+                        mSettings.text(SettingKey.PLACEMENT));
+        Router.Parts parts =
+                new Router.Parts(mFleet, mSync, mLinks, ClaimStore.of(mLoop, mTable), mRegistry);
+        return Router.of(mLoop, mClock, config, parts, mRandom);
+    }
+
+    private Sidecar sidecar() {
+        String target = mSettings.text(SettingKey.TARGET_NAME);
+        Sidecar.Config config =
+                new Sidecar.Config(
+                        target,
+                        mSettings.integer(SettingKey.TARGET_CAPACITY),
+                        mIncarnation,
+                        mSettings.integer(SettingKey.ANSWERS_BYTES));
+        Sidecar.Parts parts =
+                new Sidecar.Parts(
+                        mFleet,
+                        mSync,
+                        mLinks,
+                        HttpTargetClient.of(mLoop, mSettings.text(SettingKey.TARGET_URL)),
+                        Claims.of(ClaimStore.of(mLoop, mTable), target, mIncarnation),
+                        SidecarCounters.of(mRegistry));
+        Sidecar s = Sidecar.of(mLoop, mClock, config, parts, mRandom);
+        mRegistry.gauge("forkseam.target.load", s, x -> x.gate().load());
+        return s;
+    }
+
+    private AdminApi admin(DecisionLog decisions) {
+        AdminApi.Config config =
+                new AdminApi.Config(
+                        host(),
+                        mSettings.address(SettingKey.OPERATORS_LISTEN),
+                        mSettings.text(SettingKey.OPERATORS_KEY));
+        AdminApi.Parts parts =
+                new AdminApi.Parts(
+                        mFleet,
+                        mSync,
+                        ConfigAuthor.of(mFleet, mSync, mConfigStore, mClock),
+                        this::dump,
+                        mRegistry::scrape,
+                        this::isReady,
+                        mRegistry.counter("forkseam.admin.unauthorized")::increment);
+        return AdminApi.of(
+                mLoop, mClock, config, parts, Explainer.of(host(), mFleet, mSync, decisions));
+    }
+
+    // ---------------------------------------------------------------- life-cycle
+
+    /** Starts the event loop and all services. */
+    public void start() throws InterruptedException, ExecutionException {
+        mLoop.keepAlive(true);
+        mThread = new Thread(mLoop, "loop-" + host());
+        mThread.start();
+        try {
+            mKernel.start();
+        } catch (ExecutionException e) {
+            stopLoop();
+            throw e;
+        }
+    }
+
+    /** Stops in an orderly way: nothing in flight is cut within the time set. */
+    public void stop() throws InterruptedException {
+        mKernel.stop();
+        stopLoop();
+    }
+
+    private void stopLoop() throws InterruptedException {
+        mLoop.execute(
+                () -> {
+                    mHttp.stop();
+                    mLoop.keepAlive(false);
+                    mLoop.breakEventloop();
+                });
+        mThread.join();
+    }
+
+    /** Closes everything at once and tells nobody, as a crash would; for tests. */
+    public void kill() throws InterruptedException {
+        mLoop.execute(
+                () -> {
+                    mLoop.getSelector().keys().forEach(k -> closeAtOnce(k.channel()));
+                    mLoop.keepAlive(false);
+                    mLoop.breakEventloop();
+                });
+        mLinks.stop().join();
+        mThread.join();
+    }
+
+    private static void closeAtOnce(Channel channel) {
+        try {
+            channel.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    // ---------------------------------------------------------------- accessors
+
+    private boolean isReady() {
+        return mRouter == null ? !mSidecar.gate().isLeaving() : mRouter.isReady();
+    }
+
+    private Map<String, Object> dump() {
+        Map<String, Object> out = mKernel.dump();
+        out.put("settings", mSettings.dump());
+        out.put("host", host());
+        out.put("incarnation", mIncarnation);
+        return out;
+    }
+
+    /** Returns where operators connect. */
+    public InetSocketAddress operatorsAddress() {
+        return mAdmin.address();
+    }
+
+    /** Returns where other daemons connect. */
+    public InetSocketAddress wireAddress() {
+        return mLinks.address();
+    }
+
+    /** Returns where callers connect; only on a router. */
+    public InetSocketAddress callersAddress() {
+        return mRouter.address();
+    }
+
+    /** Returns the metrics. */
+    public PrometheusMeterRegistry registry() {
+        return mRegistry;
+    }
+}
--- /dev/null
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/admin/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' port: health, metrics, dumps, configuration. */
+package org.forkseam.daemon.admin;
--- /dev/null
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/cfg/package-info.java
@@ -0,0 +1,2 @@
+/** Checked settings of a daemon, read from INI. */
+package org.forkseam.daemon.cfg;
--- /dev/null
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon: one program with a role. */
+package org.forkseam.daemon;
--- /dev/null
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/BadRequestException.java
@@ -0,0 +1,17 @@
+package org.forkseam.daemon.router;
+
+/** Reports a caller's request that cannot be read, with the place and what is allowed. */
+final class BadRequestException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    private final int mStatus;
+
+    BadRequestException(int status, String message) {
+        super(message);
+        mStatus = status;
+    }
+
+    int status() {
+        return mStatus;
+    }
+}
--- /dev/null
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/RequestFlow.java
@@ -0,0 +1,446 @@
+package org.forkseam.daemon.router;
+
+import com.google.protobuf.ByteString;
+
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+
+import org.forkseam.core.cfg.IntentSpec;
+import org.forkseam.core.outcome.OutcomeKind;
+import org.forkseam.core.outcome.RefusalReason;
+import org.forkseam.core.outcome.Refused;
+import org.forkseam.core.outcome.RetryAfter;
+import org.forkseam.core.outcome.RetryPolicy;
+import org.forkseam.core.route.Candidate;
+import org.forkseam.core.route.ChatTicket;
+import org.forkseam.core.route.PlacementRequest;
+import org.forkseam.core.route.PoolView;
+import org.forkseam.core.route.SpillOrder;
+import org.forkseam.core.route.TargetView;
+import org.forkseam.wire.proto.End;
+import org.forkseam.wire.proto.Head;
+import org.forkseam.wire.proto.Header;
+import org.forkseam.wire.proto.LoadDigest;
+import org.forkseam.wire.proto.Submit;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+/**
+ * Carries one request through its attempts to its one final answer. Used on the event loop.
+ *
+ * <p>Nothing of an answer goes to the caller before it must: a whole answer is gathered first, so
+ * that until its end another attempt is still possible for a repeatable request.
+ */
+final class RequestFlow implements Attempt.Listener, CallerStream.Listener {
+    private static final int MAX_ATTEMPTS = 10;
+    private static final int GATHER_BYTES = 1 << 20;
+    private static final long DEADLINE_GRACE_MILLIS = 300;
+    private static final int MAX_NOTED = 5;
+
+    private final RouterContext mContext;
+    private final CallerRequest mRequest;
+    private final long mArrivedMillis;
+    private final SettablePromise<HttpResponse> mResponse = new SettablePromise<>();
+    private final CallerStream mStream = new CallerStream(this);
+    private final ByteArrayOutputStream mGathered = new ByteArrayOutputStream();
+    private PoolView mPool;
+    private String mPoolName = "";
+    private IntentSpec mIntent;
+    private PlacementRequest mPlacement;
+    private Optional<ChatTicket> mTicket = Optional.empty();
+    private SpillOrder mOrder;
+    private long mDeadlineMillis;
+    private Attempt mAttempt;
+    private Head mHead;
+    private int mAttempts;
+    private boolean mShown;
+    private boolean mOver;
+    private boolean mLastRound;
+    private Refused mLastRefused = Refused.notRun(RefusalReason.NO_TARGET, 1_000);
+
+    RequestFlow(RouterContext context, CallerRequest request) {
+        mContext = context;
+        mRequest = request;
+        mArrivedMillis = context.clock().nowMillis();
+    }
+
+    // ---------------------------------------------------------------- placing
+
+    Promise<HttpResponse> start() {
+        mContext.counters().onRequest();
+        mContext.onFlowStarted();
+        mContext.budget().onRequest();
+        if (place()) {
+            mContext.attempts()
+                    .later(mDeadlineMillis - mArrivedMillis + DEADLINE_GRACE_MILLIS, this::onLate);
+            next();
+        }
+        return mResponse;
+    }
+
+    private boolean place() {
+        var team = mContext.fleet().config().team(mRequest.team());
+        var labels = team.labels().withAll(mRequest.labels());
+        Optional<IntentSpec> intent = mContext.fleet().config().intentFor(labels);
+        Optional<PoolView> pool = intent.flatMap(i -> mContext.fleet().view().pool(i.pool()));
+        if (pool.isEmpty()) {
+            finish(Refused.notRun(RefusalReason.NO_INTENT, 0).withDetail(labels.toString()));
+            return false;
+        }
+        mIntent = intent.get();
+        mPool = pool.get();
+        mPoolName = mPool.spec().name();
+        mDeadlineMillis =
+                mArrivedMillis
+                        + mRequest.deadlineMillis().orElse(mPool.spec().deadline().toMillis());
+        int routers = mContext.fleet().view().routerCount();
+        var wait = mContext.quotas().refuse(team, routers, mArrivedMillis);
+        if (wait.isPresent()) {
+            long after = RetryAfter.spread(wait.getAsLong(), mContext.random());
+            finish(Refused.notRun(RefusalReason.OVER_QUOTA, after));
+            return false;
+        }
+        rank();
+        return true;
+    }
+
+    private void rank() {
+        CallerRequest.Prompt p = mRequest.prompt();
+        mTicket = ChatTicket.read(mRequest.ticket(), p.chat(), mContext.ticketKey());
+        mPlacement =
+                new PlacementRequest(
+                        p.chat(),
+                        p.tokens(),
+                        p.sharedPrefix(),
+                        p.sharedTokens(),
+                        p.returning(),
+                        mTicket);
+        List<Candidate> ranked =
+                mPool.targets().isEmpty()
+                        ? List.of()
+                        : mContext.placement().rank(mPlacement, mPool, mArrivedMillis);
+        note("intent " + mIntent.name() + " pool " + mPoolName, "");
+        for (int i = 0; i < Math.min(MAX_NOTED, ranked.size()); i++) {
+            note(describe(ranked.get(i)), ranked.get(i).target().name());
+        }
+        mOrder = SpillOrder.of(ranked);
+    }
+
+    private static String describe(Candidate c) {
+        return String.format(
+                Locale.ROOT,
+                "candidate why=%s score=%.1f saved=%.0f load=%d limit=%d",
+                c.why(),
+                c.score(),
+                c.savedTokens(),
+                c.load(),
+                c.limit());
+    }
+
+    // ---------------------------------------------------------------- attempts
+
+    private void next() {
+        if (mAttempts >= MAX_ATTEMPTS || now() >= mDeadlineMillis) {
+            finish(now() >= mDeadlineMillis ? late(mLastRefused) : mLastRefused);
+            return;
+        }
+        Optional<Candidate> c = mOrder.next(mPool, now());
+        if (c.isPresent()) {
+            send(c.get(), mContext.digests().forTarget(mPool, c.get().target().name()));
+            return;
+        }
+        if (mLastRefused.reason() == RefusalReason.OVER_BOUND && !mLastRound) {
+            mLastRound = true;
+            sendToLeastLoaded();
+            return;
+        }
+        finish(mLastRefused);
+    }
+
+    private static Refused late(Refused last) {
+        return last.kind() == OutcomeKind.NOT_RUN
+                ? Refused.notRun(RefusalReason.DEADLINE, 0)
+                : Refused.mayHaveRun(RefusalReason.DEADLINE);
+    }
+
+    /** Every target refused by what it knew of the others; the least loaded is told of them all. */
+    private void sendToLeastLoaded() {
+        TargetView best = null;
+        for (TargetView t : mPool.targets()) {
+            boolean usable = !t.isLeaving() && t.health().share(now()) > 0;
+            if (usable && (best == null || relative(t) < relative(best))) {
+                best = t;
+            }
+        }
+        if (best == null) {
+            finish(mLastRefused);
+            return;
+        }
+        Candidate c =
+                new Candidate(
+                        best,
+                        0,
+                        0,
+                        best.estimatedLoad(now()),
+                        mPool.limit(best, now()),
+                        Candidate.Why.LOW_LOAD);
+        send(c, mContext.digests().all(mPool, best.name()));
+    }
+
+    private double relative(TargetView t) {
+        return (double) t.estimatedLoad(now()) / t.capacity();
+    }
+
+    private void send(Candidate c, List<LoadDigest> digests) {
+        mAttempts++;
+        CallerRequest.Forward f = mRequest.forward();
+        Submit s =
+                Submit.newBuilder()
+                        .setRequestId(mRequest.id())
+                        .setAttemptKey(
+                                mRequest.id()
+                                        + ":"
+                                        + mContext.host()
+                                        + ":"
+                                        + mContext.nextAttempt())
+                        .setTeam(mRequest.team())
+                        .setPool(mPoolName)
+                        .setMethod(f.method())
+                        .setPath(f.path())
+                        .addAllHeaders(f.headers())
+                        .setBody(ByteString.copyFrom(f.body()))
+                        .setPriority(mRequest.priority().orElse(mIntent.priority()))
+                        .setRemainingMillis(mDeadlineMillis - now())
+                        .setUnrepeatable(mRequest.unrepeatable())
+                        .setChat(f.chat())
+                        .setStripUsage(f.stripUsage())
+                        .setFingerprint(f.fingerprint())
+                        .addAllDigests(digests)
+                        .build();
+        mAttempt = new Attempt(mContext.attempts(), c, s, this);
+        mAttempt.start();
+    }
+
+    private void onLate() {
+        if (!mOver && mHead == null && mAttempt != null) {
+            mAttempt.cancel();
+            finish(Refused.mayHaveRun(RefusalReason.DEADLINE));
+        }
+    }
+
+    // ---------------------------------------------------------------- from the attempt
+
+    @Override
+    public void onHead(Attempt attempt, Head head) {
+        if (mOver) {
+            return;
+        }
+        mHead = head;
+        mContext.counters().onFirstByte(now() - mArrivedMillis);
+        attempt.candidate().target().health().onSuccess(now());
+        if (mRequest.forward().stream() && head.getStatus() == 200) {
+            show();
+        }
+    }
+
+    /** Starts the answer to the caller; from here on no other attempt is possible. */
+    private void show() {
+        mShown = true;
+        HttpResponse.Builder b = headed("streaming");
+        b.withBodyStream(mStream.supplier());
+        mStream.push(mGathered.toByteArray());
+        mGathered.reset();
+        mResponse.set(b.build());
+    }
+
+    private HttpResponse.Builder headed(String outcome) {
+        HttpResponse.Builder b = HttpResponse.ofCode(mHead.getStatus());
+        for (Header h : mHead.getHeadersList()) {
+            b.withHeader(HttpHeaders.of(h.getName()), h.getValue());
+        }
+        String target = mAttempt.candidate().target().name();
+        b.withHeader(CallerHeaders.OUTCOME, outcome);
+        b.withHeader(CallerHeaders.TARGET, target);
+        b.withHeader(CallerHeaders.WHY, mAttempt.candidate().why().name().toLowerCase(Locale.ROOT));
+        if (mRequest.forward().chat()) {
+            ChatTicket t =
+                    new ChatTicket(mPlacement.chat(), target, mPlacement.promptTokens(), now());
+            b.withHeader(CallerHeaders.TICKET, t.sign(mContext.ticketKey()));
+        }
+        return common(b);
+    }
+
+    private HttpResponse.Builder common(HttpResponse.Builder b) {
+        b.withHeader(CallerHeaders.REQUEST_ID, mRequest.id());
+        b.withHeader(CallerHeaders.ATTEMPTS, Integer.toString(mAttempts));
+        return b;
+    }
+
+    @Override
+    public void onData(Attempt attempt, byte[] data) {
+        if (mOver) {
+            return;
+        }
+        if (mShown) {
+            mStream.push(data);
+            return;
+        }
+        mGathered.writeBytes(data);
+        attempt.onTaken(data.length);
+        if (mGathered.size() > GATHER_BYTES) {
+            show();
+        }
+    }
+
+    @Override
+    public void onWhole(Attempt attempt, End end) {
+        learnReuse(attempt, end);
+        note("answered", attempt.candidate().target().name());
+        mContext.counters().onOutcome(OutcomeKind.ANSWERED);
+        if (mOver) {
+            return;
+        }
+        mOver = true;
+        if (mShown) {
+            mStream.end();
+            return;
+        }
+        HttpResponse.Builder b = headed(Responses.outcome(OutcomeKind.ANSWERED));
+        if (mRequest.forward().chat()) {
+            b.withHeader(CallerHeaders.REUSED, Integer.toString(end.getCachedTokens()));
+        }
+        mResponse.set(b.withBody(mGathered.toByteArray()).build());
+        onFinished();
+    }
+
+    private void learnReuse(Attempt attempt, End end) {
+        if (!mRequest.forward().chat() || mHead.getReplayed()) {
+            return;
+        }
+        TargetView t = attempt.candidate().target();
+        mContext.prefixes().onServed(mPlacement.sharedPrefix(), t.name(), now());
+        mTicket.filter(k -> k.target().equals(t.name()))
+                .ifPresent(
+                        k ->
+                                t.onReuse(
+                                        mArrivedMillis - k.atMillis(),
+                                        k.tokens(),
+                                        end.getCachedTokens()));
+    }
+
+    @Override
+    public void onLost(Attempt attempt, Refused why) {
+        if (mOver) {
+            return;
+        }
+        TargetView t = attempt.candidate().target();
+        note("lost " + why.kind() + " " + why.reason() + " " + why.detail(), t.name());
+        mContext.counters().onRefused(why.reason());
+        if (why.reason().isFailure()) {
+            t.health().onFailure(now());
+            mOrder.onFailure(t);
+        }
+        mLastRefused = why;
+        mHead = null;
+        mGathered.reset();
+        if (!why.owner().isEmpty()) {
+            askOwner(why);
+            return;
+        }
+        if (!RetryPolicy.maySafelyRetry(why, mRequest.unrepeatable(), mShown)) {
+            finish(why);
+            return;
+        }
+        if (RetryPolicy.spendsBudget(why)) {
+            if (!mContext.budget().tryRetry()) {
+                finish(why.withDetail(RefusalReason.NO_BUDGET.text()));
+                return;
+            }
+            mContext.counters().onRetry();
+        } else {
+            mContext.counters().onSpill();
+        }
+        next();
+    }
+
+    /** Only the target that holds the claim can tell what became of the request. */
+    private void askOwner(Refused why) {
+        Optional<TargetView> owner = mContext.fleet().view().target(why.owner());
+        if (owner.isEmpty() || mAttempts >= MAX_ATTEMPTS) {
+            finish(Refused.mayHaveRun(RefusalReason.CLAIMED_ELSEWHERE).withDetail(why.owner()));
+            return;
+        }
+        // If the owner cannot be asked either, the request may have run there.
+        mLastRefused = Refused.mayHaveRun(RefusalReason.CLAIMED_ELSEWHERE);
+        mOrder = SpillOrder.of(List.of());
+        Candidate c = new Candidate(owner.get(), 0, 0, 0, 0, Candidate.Why.UNSCORED);
+        send(c, new ArrayList<>());
+    }
+
+    // ---------------------------------------------------------------- to the caller
+
+    /** Gives the final word at once. */
+    private void finish(Refused why) {
+        if (mOver) {
+            return;
+        }
+        mOver = true;
+        boolean doubtful =
+                mRequest.unrepeatable() && why.kind() == OutcomeKind.NOT_RUN && mAttempts > 0;
+        if (doubtful) {
+            mContext.claims().confirmNotRun(mRequest, why).thenAccept(this::answer);
+        } else {
+            answer(why);
+        }
+    }
+
+    private void answer(Refused why) {
+        note("final " + why.kind() + " " + why.reason(), "");
+        mContext.counters().onOutcome(why.kind());
+        if (!mShown) {
+            mResponse.set(common(Responses.refused(why)).build());
+            onFinished();
+            return;
+        }
+        if (mRequest.forward().stream()) {
+            mStream.push(Responses.errorEvent(why));
+        }
+        mStream.fail(new IOException("answer broken off: " + why.reason()));
+    }
+
+    @Override
+    public void onTaken(int bytes) {
+        if (mAttempt != null) {
+            mAttempt.onTaken(bytes);
+        }
+    }
+
+    @Override
+    public void onGone() {
+        mContext.counters().onCallerGone();
+        mOver = true;
+        if (mAttempt != null) {
+            mAttempt.cancel();
+        }
+    }
+
+    @Override
+    public void onFinished() {
+        mContext.onFlowEnded();
+    }
+
+    private long now() {
+        return mContext.clock().nowMillis();
+    }
+
+    private void note(String what, String where) {
+        mContext.decisions().note(mRequest.id(), what, where);
+    }
+}
--- /dev/null
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/Responses.java
@@ -0,0 +1,72 @@
+package org.forkseam.daemon.router;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpResponse;
+
+import org.forkseam.core.outcome.OutcomeKind;
+import org.forkseam.core.outcome.Refused;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+/** Writes the answers that a router gives of itself. Stateless. */
+final class Responses {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final int BAD_GATEWAY = 502;
+
+    private Responses() {}
+
+    /** Writes an error in the shape that model-serving clients know. */
+    static HttpResponse.Builder error(int status, String code, String message) {
+        return HttpResponse.ofCode(status).withJson(errorJson(code, message));
+    }
+
+    static String errorJson(String code, String message) {
+        ObjectNode o = JSON.createObjectNode();
+        o.putObject("error")
+                .put("message", message)
+                .put("type", "forkseam_error")
+                .put("code", code)
+                .putNull("param");
+        return o.toString();
+    }
+
+    /** Writes the final word on a request that got no answer. */
+    static HttpResponse.Builder refused(Refused r) {
+        int status = r.reason().status();
+        if (r.kind() != OutcomeKind.NOT_RUN && status == SERVICE_UNAVAILABLE) {
+            status = BAD_GATEWAY; // 503 would say that nothing was done
+        }
+        HttpResponse.Builder b = error(status, code(r), message(r));
+        b.withHeader(CallerHeaders.OUTCOME, outcome(r.kind()));
+        if (r.retryAfterMillis() > 0) {
+            long seconds = Math.max(1, Math.round(r.retryAfterMillis() / 1000.0));
+            b.withHeader(HttpHeaders.RETRY_AFTER, Long.toString(seconds));
+            b.withHeader(CallerHeaders.RETRY_AFTER_MS, Long.toString(r.retryAfterMillis()));
+        }
+        return b;
+    }
+
+    static String outcome(OutcomeKind kind) {
+        return kind.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    static String code(Refused r) {
+        return r.reason().name().toLowerCase(Locale.ROOT);
+    }
+
+    static String message(Refused r) {
+        String text = r.reason().text() + " (outcome: " + outcome(r.kind()) + ")";
+        return r.detail().isEmpty() ? text : text + ": " + r.detail();
+    }
+
+    /** Writes an event that tells a streaming caller that its answer broke off. */
+    static byte[] errorEvent(Refused r) {
+        String json = errorJson(code(r), message(r));
+        return ("event: error\ndata: " + json + "\n\n").getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/share/DecisionLog.java
@@ -0,0 +1,91 @@
+package org.forkseam.daemon.share;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+
+import org.forkseam.platform.http.Http;
+import org.forkseam.wire.proto.DecisionQuery;
+import org.forkseam.wire.proto.DecisionReply;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Remembers what was decided on the latest requests, for operators who ask why.
+ *
+ * <p>Bounded in requests and in notes for each. Not thread-safe; used on the event loop.
+ *
+ * @since 0.1
+ */
+public final class DecisionLog {
+    /** Requests remembered: some 400 bytes each. */
+    public static final int DEFAULT_SIZE = 2_000;
+
+    private static final int MAX_NOTES = 24;
+
+    private final Map<String, List<Note>> mNotes;
+
+    /**
+     * Holds one decision.
+     *
+     * @param atMillis when
+     * @param what what was decided, in the users' words
+     * @param where the target or daemon concerned
+     */
+    public record Note(long atMillis, String what, String where) {}
+
+    private DecisionLog(int size) {
+        mNotes =
+                new LinkedHashMap<>() {
+                    private static final long serialVersionUID = 1L;
+
+                    @Override
+                    protected boolean removeEldestEntry(Map.Entry<String, List<Note>> eldest) {
+                        return size() > size;
+                    }
+                };
+    }
+
+    /** Creates a log of at most so many requests. */
+    public static DecisionLog of(int size) {
+        return new DecisionLog(size);
+    }
+
+    /** Notes a decision on a request. */
+    public void note(String requestId, String what, String where) {
+        List<Note> notes = mNotes.computeIfAbsent(requestId, k -> new ArrayList<>(4));
+        if (notes.size() < MAX_NOTES) {
+            notes.add(new Note(System.currentTimeMillis(), what, where));
+        }
+    }
+
+    /** Returns the decisions on a request, the earliest first. */
+    public List<Note> of(String requestId) {
+        return Collections.unmodifiableList(mNotes.getOrDefault(requestId, List.of()));
+    }
+
+    /** Returns the latest requests with their decisions. */
+    public Map<String, List<Note>> newest(int count) {
+        Map<String, List<Note>> out = new LinkedHashMap<>();
+        int skip = Math.max(0, mNotes.size() - count);
+        mNotes.entrySet().stream().skip(skip).forEach(e -> out.put(e.getKey(), e.getValue()));
+        return out;
+    }
+
+    /** Answers another daemon's question. */
+    public DecisionReply answer(DecisionQuery query) {
+        ArrayNode list = Http.JSON.createArrayNode();
+        for (Note n : of(query.getRequestId())) {
+            list.addObject()
+                    .put("at_ms", n.atMillis())
+                    .put("what", n.what())
+                    .put("where", n.where());
+        }
+        return DecisionReply.newBuilder()
+                .setQuery(query.getQuery())
+                .setJson(list.toString())
+                .build();
+    }
+}
--- /dev/null
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Viewer.java
@@ -0,0 +1,161 @@
+package org.forkseam.daemon.sidecar;
+
+import com.google.protobuf.ByteString;
+
+import org.forkseam.core.answer.AnswerBuffer;
+import org.forkseam.core.outcome.RefusalReason;
+import org.forkseam.core.outcome.Refused;
+import org.forkseam.wire.Link;
+import org.forkseam.wire.proto.End;
+import org.forkseam.wire.proto.Frame;
+import org.forkseam.wire.proto.Head;
+import org.forkseam.wire.proto.LoadDigest;
+import org.forkseam.wire.proto.Packet;
+import org.forkseam.wire.proto.Refusal;
+
+import java.util.List;
+import java.util.function.Supplier;
+
+/**
+ * Sends one exchange's answer over one stream of a link, within the credit given. Used on the event
+ * loop.
+ */
+final class Viewer {
+    private final Link mLink;
+    private final long mStream;
+    private final Supplier<Packet.Builder> mPackets;
+    private final Supplier<List<LoadDigest>> mDigests;
+    private long mNext;
+    private long mSentBytes;
+    private long mAllowedBytes;
+    private long mAcked;
+    private boolean mHeadSent;
+    private boolean mDone;
+
+    Viewer(
+            Link link,
+            long stream,
+            long fromSequence,
+            long window,
+            Supplier<Packet.Builder> packets,
+            Supplier<List<LoadDigest>> digests) {
+        mLink = link;
+        mStream = stream;
+        mNext = fromSequence;
+        mAcked = fromSequence;
+        mAllowedBytes = window;
+        mPackets = packets;
+        mDigests = digests;
+    }
+
+    Link link() {
+        return mLink;
+    }
+
+    long stream() {
+        return mStream;
+    }
+
+    long acked() {
+        return mAcked;
+    }
+
+    boolean isDone() {
+        return mDone;
+    }
+
+    /** Takes credit in; the total only grows, so a credit that comes late or twice does no harm. */
+    void onCredit(long totalBytes, long ackedSequence) {
+        mAllowedBytes = Math.max(mAllowedBytes, totalBytes);
+        mAcked = Math.max(mAcked, ackedSequence);
+    }
+
+    /** Returns bytes that wait for this viewer's credit. */
+    int heldBytes(Exchange e) {
+        AnswerBuffer b = e.buffer();
+        int held = 0;
+        for (long i = mNext; i < b.frameCount(); i++) {
+            held += b.frame(i).length;
+        }
+        return held;
+    }
+
+    void pump(Exchange e) {
+        if (mDone) {
+            return;
+        }
+        if (!mHeadSent && e.status() != 0) {
+            sendHead(e);
+        }
+        AnswerBuffer b = e.buffer();
+        if (!b.has(mNext)) {
+            refuse(Refused.failed(RefusalReason.NOT_KEPT, "the answer's beginning is not kept"));
+            return;
+        }
+        while (mNext < b.frameCount() && mSentBytes < mAllowedBytes) {
+            sendFrame(b.frame(mNext));
+        }
+        if (e.refused().isPresent() && !mHeadSent) {
+            refuse(e.refused().get());
+        } else if (e.isOver() && mNext == b.frameCount()) {
+            sendEnd(e);
+        }
+    }
+
+    private void sendHead(Exchange e) {
+        mHeadSent = true;
+        Head.Builder h =
+                Head.newBuilder()
+                        .setStream(mStream)
+                        .setStatus(e.status())
+                        .addAllHeaders(e.headers())
+                        .setReplayed(e.isReplayed())
+                        .setQueuedMillis((int) (e.startedMillis() - e.arrivedMillis()))
+                        .addAllDigests(mDigests.get());
+        if (e.resumedFrom() >= 0) {
+            h.setResumedFrom(e.resumedFrom());
+        }
+        mLink.send(mPackets.get().setHead(h).build());
+    }
+
+    private void sendFrame(byte[] data) {
+        Frame f =
+                Frame.newBuilder()
+                        .setStream(mStream)
+                        .setSequence(mNext)
+                        .setData(ByteString.copyFrom(data))
+                        .build();
+        mLink.send(mPackets.get().setFrame(f).build());
+        mNext++;
+        mSentBytes += data.length;
+    }
+
+    private void sendEnd(Exchange e) {
+        mDone = true;
+        End.Builder end =
+                End.newBuilder()
+                        .setStream(mStream)
+                        .setFrameCount(e.buffer().frameCount())
+                        .setChecksum(e.buffer().checksum())
+                        .setPromptTokens(e.usage().promptTokens())
+                        .setCachedTokens(e.usage().cachedTokens())
+                        .addAllDigests(mDigests.get());
+        e.refused().ifPresent(r -> end.setError(r.reason().name() + ": " + r.detail()));
+        mLink.send(mPackets.get().setEnd(end).build());
+    }
+
+    /** Ends the stream without an answer. */
+    void refuse(Refused r) {
+        mDone = true;
+        Refusal.Builder b =
+                Refusal.newBuilder()
+                        .setStream(mStream)
+                        .setKind(r.kind().name())
+                        .setReason(r.reason().name())
+                        .setRetryAfterMillis(r.retryAfterMillis())
+                        .setOwner(r.owner())
+                        .setDetail(r.detail())
+                        .addAllDigests(mDigests.get());
+        mLink.send(mPackets.get().setRefusal(b).build());
+    }
+}
--- /dev/null
+++ b/forkseam-platform/src/main/java/org/forkseam/platform/http/HttpHostList.java
@@ -0,0 +1,78 @@
+package org.forkseam.platform.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import io.activej.http.HttpMethod;
+
+import org.forkseam.core.label.Labels;
+import org.forkseam.core.member.HostEntry;
+import org.forkseam.platform.HostList;
+import org.forkseam.platform.PlatformException;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Reads the host list in the form of Prometheus HTTP service discovery: a list of {@code targets}
+ * with {@code labels}, of which {@code host} names the host and {@code state=leaving} says that it
+ * leaves.
+ *
+ * @since 0.1
+ */
+public final class HttpHostList implements HostList {
+    private static final String SERVICE = "host list";
+    private static final String HOST = "host";
+    private static final String STATE = "state";
+    private static final int OK = 200;
+
+    private final Http mHttp;
+    private final String mUrl;
+
+    private HttpHostList(Http http, String url) {
+        mHttp = http;
+        mUrl = url;
+    }
+
+    /** Creates a reader of the list at a URL. */
+    public static HttpHostList of(Http http, String url) {
+        return new HttpHostList(http, url);
+    }
+
+    @Override
+    public CompletableFuture<List<HostEntry>> read() {
+        return mHttp.send(SERVICE, HttpMethod.GET, mUrl, null).thenCompose(HttpHostList::parse);
+    }
+
+    private static CompletableFuture<List<HostEntry>> parse(Http.Answer a) {
+        if (a.status() != OK) {
+            return CompletableFuture.failedFuture(
+                    new PlatformException(SERVICE, "status " + a.status()));
+        }
+        try {
+            return CompletableFuture.completedFuture(entries(Http.JSON.readTree(a.body())));
+        } catch (IOException e) {
+            return CompletableFuture.failedFuture(new PlatformException(SERVICE, e));
+        }
+    }
+
+    private static List<HostEntry> entries(JsonNode list) {
+        List<HostEntry> out = new ArrayList<>();
+        for (JsonNode group : list) {
+            Map<String, String> labels = new TreeMap<>();
+            group.path("labels")
+                    .fields()
+                    .forEachRemaining(e -> labels.put(e.getKey(), e.getValue().asText()));
+            String host = labels.remove(HOST);
+            boolean leaving = "leaving".equals(labels.remove(STATE));
+            String address = group.path("targets").path(0).asText();
+            if (host != null && !address.isEmpty()) {
+                out.add(new HostEntry(host, address, leaving, Labels.of(labels)));
+            }
+        }
+        return out;
+    }
+}
--- /dev/null
+++ b/forkseam-wire/src/main/java/org/forkseam/wire/LinkInitializer.java
@@ -0,0 +1,68 @@
+package org.forkseam.wire;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.ssl.SslContext;
+
+import org.forkseam.wire.proto.Packet;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** Sets up the handlers of a new connection, the same on both sides. */
+final class LinkInitializer extends ChannelInitializer<Channel> {
+    private static final int LENGTH_BYTES = 4;
+
+    private final WireSettings mSettings;
+    private final LinkHandler mHandler;
+    private final WireCounters mCounters;
+    private final Optional<SslContext> mSsl;
+    private final CompletableFuture<Link> mOpened;
+
+    /** Creates the set-up; {@code opened} is null on the side that accepts. */
+    LinkInitializer(
+            WireSettings settings,
+            LinkHandler handler,
+            WireCounters counters,
+            Optional<SslContext> ssl,
+            CompletableFuture<Link> opened) {
+        mSettings = settings;
+        mHandler = handler;
+        mCounters = counters;
+        mSsl = ssl;
+        mOpened = opened;
+    }
+
+    @Override
+    protected void initChannel(Channel ch) {
+        ChannelPipeline p = ch.pipeline();
+        mSsl.ifPresent(s -> p.addLast(s.newHandler(ch.alloc())));
+        p.addLast(
+                new LengthFieldBasedFrameDecoder(
+                        mSettings.maxPacketBytes(), 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+        p.addLast(new ProtobufDecoder(Packet.getDefaultInstance()));
+        p.addLast(new LengthFieldPrepender(LENGTH_BYTES));
+        p.addLast(new ProtobufEncoder());
+        p.addLast(new Counter());
+        p.addLast(new LinkChannelHandler(mSettings, mHandler, mCounters, mOpened));
+    }
+
+    /** Counts the packets sent. */
+    private final class Counter extends ChannelOutboundHandlerAdapter {
+        @Override
+        public void write(ChannelHandlerContext ctx, Object msg, ChannelPromise promise) {
+            if (msg instanceof Packet p) {
+                mCounters.onSent(p);
+            }
+            ctx.write(msg, promise);
+        }
+    }
+}
