--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetHealth.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetHealth.java
@@ -22,6 +22,9 @@
 
     /** Notes a failure of the target itself: unreachable, down, cut or broken. */
     public void onFailure(long nowMillis) {
+        if (nowMillis < mOutUntil) {
+            return; // requests that were under way when it failed tell nothing new
+        }
         mFailures++;
         boolean onRamp = mRampSince != Long.MIN_VALUE && nowMillis < mRampSince + RAMP_MILLIS;
         if (mFailures < FAILURES_TO_EJECT && !onRamp) {
--- /dev/null
+++ b/forkseam-core/src/test/java/org/forkseam/core/claim/ClaimModelCheckTest.java
@@ -0,0 +1,299 @@
+package org.forkseam.core.claim;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import org.forkseam.core.claim.ClaimProtocol.OwnState;
+import org.forkseam.core.claim.ClaimProtocol.Step;
+import org.junit.jupiter.api.Test;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Runs {@link ClaimProtocol} through every interleaving of a small world: two sidecars, one row,
+ * three attempts at one request, answers lost, writes that arrive late, crashes, pauses anywhere.
+ */
+class ClaimModelCheckTest {
+    private static final int MAX_DEPTH = 60;
+
+    /** Which sidecar each attempt goes to. */
+    private static final List<String> ATTEMPTS = List.of("A", "B", "A");
+
+    /** How a sidecar reads its own memory; the right way, or a wrong one that must be found out. */
+    private enum Memory {
+        RIGHT,
+        FORGOTTEN_COUNTS_AS_ABANDONED
+    }
+
+    @Test
+    void neverTwoRuns() {
+        Explorer e = new Explorer(Memory.RIGHT);
+        e.explore();
+        System.out.println(
+                "claim model: "
+                        + e.mSeen.size()
+                        + " states, "
+                        + e.mRan
+                        + " with a run, depth "
+                        + e.mDeepest);
+        assertThat(e.mRan).isGreaterThan(0);
+        assertThat(e.mSeen.size()).isGreaterThan(10_000);
+        assertWithMessage("path to two runs").that(e.mDoubleRun).isEmpty();
+    }
+
+    @Test
+    void takingOverAForgottenClaimIsFoundOut() {
+        Explorer e = new Explorer(Memory.FORGOTTEN_COUNTS_AS_ABANDONED);
+        e.explore();
+        assertThat(e.mDoubleRun).isNotEmpty();
+    }
+
+    /** Visits every state that can be reached. */
+    private static final class Explorer {
+        private final Memory mMemory;
+        private final Set<String> mSeen = new HashSet<>();
+        private List<String> mDoubleRun = List.of();
+        private int mRan;
+        private int mDeepest;
+
+        Explorer(Memory memory) {
+            mMemory = memory;
+        }
+
+        void explore() {
+            visit(new ArrayList<>());
+        }
+
+        private void visit(List<String> path) {
+            World w = World.after(path, mMemory);
+            if (w.mRuns > 1 && mDoubleRun.isEmpty()) {
+                mDoubleRun = List.copyOf(path);
+            }
+            if (!mSeen.add(w.fingerprint())) {
+                return;
+            }
+            mRan += w.mRuns > 0 ? 1 : 0;
+            assertWithMessage("depth of the exploration").that(path.size()).isLessThan(MAX_DEPTH);
+            mDeepest = Math.max(mDeepest, path.size());
+            for (String action : w.actions()) {
+                path.add(action);
+                visit(path);
+                path.remove(path.size() - 1);
+            }
+        }
+    }
+
+    /** Is one write on its way to the store. */
+    private record Pending(ClaimRow row, long expected) {}
+
+    /** Is one attempt at one sidecar. */
+    private static final class Attempt {
+        ClaimProtocol mProtocol;
+        Step mStep;
+        long mRevision;
+        String mPhase = "new";
+        String mNonce = "";
+        int mLife;
+    }
+
+    /** Is the world after a sequence of actions. */
+    private static final class World {
+        private final Memory mMemory;
+        private final Attempt[] mAttempts = new Attempt[ATTEMPTS.size()];
+        private final Map<String, Integer> mLives = new HashMap<>(Map.of("A", 0, "B", 0));
+        private final Map<String, OwnState> mOwn = new HashMap<>();
+        private final List<Pending> mLate = new ArrayList<>();
+        private ClaimRow mRow;
+        private long mRevision;
+        private int mRuns;
+
+        private World(Memory memory) {
+            mMemory = memory;
+            for (int i = 0; i < mAttempts.length; i++) {
+                mAttempts[i] = new Attempt();
+            }
+        }
+
+        static World after(List<String> path, Memory memory) {
+            World w = new World(memory);
+            path.forEach(w::perform);
+            return w;
+        }
+
+        List<String> actions() {
+            List<String> out = new ArrayList<>();
+            for (int i = 0; i < mAttempts.length; i++) {
+                Attempt a = mAttempts[i];
+                switch (a.mPhase) {
+                    case "new" -> out.add("start " + i);
+                    case "write" -> {
+                        out.add("answered " + i);
+                        out.add("answer-lost " + i);
+                        out.add("request-lost " + i);
+                        out.add("late " + i);
+                    }
+                    case "read" -> {
+                        out.add("read " + i);
+                        out.add("read-failed " + i);
+                    }
+                    case "claimed" -> {
+                        out.add("run " + i);
+                        out.add("abandon " + i);
+                        out.add("abandon-lost " + i);
+                    }
+                    case "ran" -> {
+                        out.add("done " + i);
+                        out.add("done-lost " + i);
+                    }
+                    default -> {
+                        // Over.
+                    }
+                }
+            }
+            for (int i = 0; i < mLate.size(); i++) {
+                out.add("arrives " + i);
+            }
+            for (String s : List.of("A", "B")) {
+                if (mLives.get(s) == 0) {
+                    out.add("crash " + s);
+                }
+            }
+            return out;
+        }
+
+        private void perform(String action) {
+            String[] w = action.split(" ");
+            if (w[0].equals("crash")) {
+                crash(w[1]);
+                return;
+            }
+            int i = Integer.parseInt(w[1]);
+            if (w[0].equals("arrives")) {
+                apply(mLate.remove(i));
+                return;
+            }
+            Attempt a = mAttempts[i];
+            switch (w[0]) {
+                case "start" -> start(i, a);
+                case "answered" -> answered(a, apply(pending(a)));
+                case "answer-lost" -> {
+                    apply(pending(a));
+                    next(a, a.mProtocol.onUnknown());
+                }
+                case "request-lost" -> next(a, a.mProtocol.onUnknown());
+                case "late" -> {
+                    mLate.add(pending(a));
+                    next(a, a.mProtocol.onUnknown());
+                }
+                case "read" -> {
+                    a.mRevision = mRevision;
+                    next(a, a.mProtocol.onRead(Optional.ofNullable(mRow)));
+                }
+                case "read-failed" -> next(a, a.mProtocol.onReadFailed());
+                case "run" -> {
+                    mRuns++;
+                    a.mPhase = "ran";
+                }
+                case "abandon", "abandon-lost" -> abandon(a, w[0].equals("abandon"));
+                case "done", "done-lost" -> done(a, w[0].equals("done"));
+                default -> throw new IllegalStateException(action);
+            }
+        }
+
+        private void start(int i, Attempt a) {
+            String s = ATTEMPTS.get(i);
+            a.mLife = mLives.get(s);
+            a.mNonce = "n" + i;
+            mOwn.put(a.mNonce, OwnState.ACTIVE);
+            ClaimRow row = new ClaimRow(ClaimRow.State.CLAIMED, s, a.mLife, a.mNonce, "same", "");
+            a.mProtocol = ClaimProtocol.of(row, this::own);
+            next(a, a.mProtocol.start());
+        }
+
+        private OwnState own(String nonce) {
+            OwnState s = mOwn.getOrDefault(nonce, OwnState.UNKNOWN);
+            boolean wrong = mMemory == Memory.FORGOTTEN_COUNTS_AS_ABANDONED;
+            return s == OwnState.ACTIVE && wrong ? OwnState.ABANDONED : s;
+        }
+
+        private Pending pending(Attempt a) {
+            return new Pending(a.mProtocol.row(), a.mStep == Step.INSERT ? 0 : a.mRevision);
+        }
+
+        private boolean apply(Pending p) {
+            if ((mRow == null ? 0 : mRevision) != p.expected()) {
+                return false;
+            }
+            mRow = p.row();
+            mRevision++;
+            return true;
+        }
+
+        private void answered(Attempt a, boolean applied) {
+            a.mRevision = mRevision;
+            next(
+                    a,
+                    applied
+                            ? a.mProtocol.onApplied()
+                            : a.mProtocol.onConflict(Optional.ofNullable(mRow)));
+        }
+
+        private void next(Attempt a, Step step) {
+            a.mStep = step;
+            a.mPhase =
+                    switch (step) {
+                        case INSERT, REPLACE -> "write";
+                        case READ -> "read";
+                        case RUN -> "claimed";
+                        default -> "over";
+                    };
+            if (a.mPhase.equals("over")) {
+                mOwn.put(a.mNonce, OwnState.ABANDONED);
+            }
+        }
+
+        private void abandon(Attempt a, boolean arrives) {
+            mOwn.put(a.mNonce, OwnState.ABANDONED);
+            if (arrives) {
+                ClaimRow r = a.mProtocol.row().withState(ClaimRow.State.ABANDONED, "");
+                apply(new Pending(r, a.mRevision));
+            }
+            a.mPhase = "over";
+        }
+
+        private void done(Attempt a, boolean arrives) {
+            if (arrives) {
+                ClaimRow r = a.mProtocol.row().withState(ClaimRow.State.DONE, "answer");
+                apply(new Pending(r, a.mRevision));
+            }
+            a.mPhase = "over";
+        }
+
+        private void crash(String s) {
+            mLives.merge(s, 1, Integer::sum);
+            for (int i = 0; i < mAttempts.length; i++) {
+                if (ATTEMPTS.get(i).equals(s) && !mAttempts[i].mPhase.equals("new")) {
+                    mAttempts[i].mPhase = "over";
+                    mOwn.remove(mAttempts[i].mNonce);
+                }
+            }
+        }
+
+        String fingerprint() {
+            StringBuilder sb = new StringBuilder();
+            sb.append(mRow).append(mRevision).append(mRuns).append(mLives).append(mLate);
+            for (Attempt a : mAttempts) {
+                sb.append('|').append(a.mPhase).append(a.mStep).append(a.mRevision);
+                sb.append(a.mProtocol == null ? "" : a.mProtocol.seen().toString());
+                sb.append(mOwn.get(a.mNonce));
+            }
+            return sb.toString();
+        }
+    }
+}
--- a/forkseam-wire/src/main/java/org/forkseam/wire/LinkInitializer.java
+++ b/forkseam-wire/src/main/java/org/forkseam/wire/LinkInitializer.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.group.ChannelGroup;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
@@ -25,6 +26,7 @@
     private final LinkHandler mHandler;
     private final WireCounters mCounters;
     private final Optional<SslContext> mSsl;
+    private final ChannelGroup mChannels;
     private final CompletableFuture<Link> mOpened;
 
     /** Creates the set-up; {@code opened} is null on the side that accepts. */
@@ -33,16 +35,19 @@
             LinkHandler handler,
             WireCounters counters,
             Optional<SslContext> ssl,
+            ChannelGroup channels,
             CompletableFuture<Link> opened) {
         mSettings = settings;
         mHandler = handler;
         mCounters = counters;
         mSsl = ssl;
+        mChannels = channels;
         mOpened = opened;
     }
 
     @Override
     protected void initChannel(Channel ch) {
+        mChannels.add(ch);
         ChannelPipeline p = ch.pipeline();
         mSsl.ifPresent(s -> p.addLast(s.newHandler(ch.alloc())));
         p.addLast(
--- a/forkseam-wire/src/main/java/org/forkseam/wire/Wire.java
+++ b/forkseam-wire/src/main/java/org/forkseam/wire/Wire.java
@@ -6,6 +6,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -13,6 +15,7 @@
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.ssl.SslContextBuilder;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.GlobalEventExecutor;
 
 import java.io.File;
 import java.net.InetSocketAddress;
@@ -35,6 +38,7 @@
     private final WireSettings mSettings;
     private final LinkHandler mHandler;
     private final WireCounters mCounters = new WireCounters();
+    private final ChannelGroup mChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private EventLoopGroup mGroup;
     private Channel mListening;
     private Optional<SslContext> mServerSsl = Optional.empty();
@@ -93,17 +97,22 @@
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(
-                                new LinkInitializer(
-                                        mSettings, mHandler, mCounters, mServerSsl, null));
+                        .childHandler(initializer(mServerSsl, null));
         mListening = b.bind(address).syncUninterruptibly().channel();
+        mChannels.add(mListening);
+    }
+
+    private LinkInitializer initializer(Optional<SslContext> ssl, CompletableFuture<Link> opened) {
+        return new LinkInitializer(mSettings, mHandler, mCounters, ssl, mChannels, opened);
     }
 
     /** Closes all links and stops the network thread. */
     public void stop() {
-        if (mListening != null) {
-            mListening.close().syncUninterruptibly();
+        if (mGroup.isShutdown()) {
+            return;
         }
+        // Netty's shutdown alone left accepted connections open, and peers took 4 s to notice.
+        mChannels.close().awaitUninterruptibly();
         mGroup.shutdownGracefully(0, STOP_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly();
     }
 
@@ -127,7 +136,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, mSettings.connectMillis())
-                .handler(new LinkInitializer(mSettings, mHandler, mCounters, mClientSsl, opened))
+                .handler(initializer(mClientSsl, opened))
                 .connect(address)
                 .addListener(
                         f -> {
