Serve truthfully while targets, sidecars, routers and connections fail

Cause: the promises had proofs in the core only. Over real connections these were found and mended, each by a test that failed first: - A caller who hung up while waiting kept its place in the queue, since the HTTP library reads nothing while it awaits an answer (callerWhoHangsUpWhileWaitingLeavesTheQueue); the router now looks for the end of each waiting caller's stream itself. - A target that refused connections gave "may have run", since the refused connection comes wrapped (targetThatIsDownIsNotRun...); it is "not run".

Ruled out: comments in the event stream to find callers who left, since they would fix the status before the outcome is known.

--- /dev/null
+++ b/forkseam-bench/src/test/java/org/forkseam/bench/ServingTest.java
@@ -0,0 +1,136 @@
+package org.forkseam.bench;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/** The path as callers see it when nothing fails, and what malformed requests get. */
+class ServingTest extends FleetTestBase {
+    private static final String CALLS = "/services/gauge-api/";
+    private static final String ASK = "{\"stream_options\":{\"include_usage\":true},";
+
+    @Test
+    void streamedAndWholeAnswersAreExact() throws Exception {
+        assertWhole(chat(mRouter1, "a", true, Map.of()), "a");
+        assertWhole(chat(mRouter2, "b", false, Map.of()), "b");
+    }
+
+    @Test
+    void chatReturnsToItsTargetThroughEitherRouter() throws Exception {
+        Caller.Answer first = chat(mRouter1, "a", true, Map.of("Chat-Id", "c1"));
+        Caller.Answer second =
+                chat(
+                        mRouter2,
+                        "a",
+                        false,
+                        Map.of("Chat-Id", "c1", "Ticket", first.header("ticket")));
+        assertThat(second.header("target")).isEqualTo(first.header("target"));
+        assertThat(second.header("why")).isEqualTo("ticket");
+        assertThat(Integer.parseInt(second.header("reused-tokens"))).isGreaterThan(30);
+    }
+
+    @Test
+    void usageGoesOnlyToCallersWhoAskedForIt() throws Exception {
+        String plain = body("a", 4, true);
+        String asking =
+                plain.replace(
+                        "{\"model\"", "{\"stream_options\":{\"include_usage\":true},\"model\"");
+        assertThat(raw(plain)).doesNotContain("usage");
+        assertThat(raw(asking)).contains("cached_tokens");
+    }
+
+    private String raw(String body) throws Exception {
+        String head =
+                "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+                        + "Connection: close\r\nContent-Length: "
+                        + body.length()
+                        + "\r\n\r\n";
+        return exchange(head + body);
+    }
+
+    private String exchange(String request) throws Exception {
+        try (Socket s = new Socket()) {
+            s.connect(mRouter1.callersAddress());
+            s.setSoTimeout(20_000);
+            s.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+            InputStream in = s.getInputStream();
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"GET", "POST", "PUT", "DELETE", "PATCH"})
+    void serviceGetsAnyMethodAndPath(String method) throws Exception {
+        Caller.Answer a =
+                mCaller.send(
+                        mRouter1.callersAddress(),
+                        method,
+                        "/services/gauge-api/stations/12/raw?from=1&to=2",
+                        "{x}",
+                        Map.of("Team", "coop"));
+        assertThat(a.status()).isEqualTo(200);
+        assertThat(a.text()).isEqualTo(method + " /stations/12/raw?from=1&to=2 {x}");
+        assertThat(a.header("outcome")).isEqualTo("answered");
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "CHAT|{}|-|400|messages",
+                "CHAT|not json|-|400|JSON",
+                "CHAT|{\"messages\":[{\"content\":\"x\"}]}|-|400|model",
+                "CHAT|[]|-|400|JSON object",
+                "/elsewhere|{}|-|404|allowed",
+                "/services/no%20name/|{}|-|400|allowed",
+                "/services/unknown/x|{}|-|404|no routing intent",
+                "CALL|{}|Deadline-Ms=soon|400|whole number",
+                "CALL|{}|Priority=10|400|from 0 to 9",
+                "CALL|{}|Request-Id=a b|400|1 to 128",
+                "CALL|{}|Unrepeatable=perhaps|400|true or false",
+                "CALL|{}|Unrepeatable=true|400|Request-Id",
+                "CALL|{}|Labels=x|400|name=value",
+            })
+    void badRequestNamesWhatIsAllowed(
+            String path, String body, String header, int status, String message) throws Exception {
+        Map<String, String> headers =
+                header.equals("-")
+                        ? Map.of()
+                        : Map.of(header.split("=", 2)[0], header.split("=", 2)[1]);
+        String at = path.replace("CHAT", "/v1/chat/completions").replace("CALL", CALLS);
+        Caller.Answer a = call(mRouter1, at, body, headers);
+        assertWithMessage(a.text()).that(a.status()).isEqualTo(status);
+        assertThat(a.text()).contains(message);
+        assertThat(a.text()).doesNotContain("Exception");
+        assertThat(a.header("outcome")).isEqualTo("not-run");
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "'GARBAGE\r\n\r\n'",
+        "'POST /v1/chat/completions HTTP/1.1\r\nContent-Length: -5\r\n\r\n'",
+        "'GET / HTTP/9.9\r\n\r\n'",
+        "'POST /v1/chat/completions HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n'"
+    })
+    void malformedHttpIsAnsweredOrClosed(String request) throws Exception {
+        String answer = exchange(request.replace("\\r", "\r").replace("\\n", "\n"));
+        assertThat(answer).doesNotContain("Exception");
+        assertThat(answer).doesNotContain(" 200 ");
+        assertWhole(chat(mRouter1, "a", true, Map.of()), "a");
+    }
+
+    @Test
+    void oversizedBodyIsRefused() throws Exception {
+        Caller.Answer a = call(mRouter1, "/services/gauge-api/x", "x".repeat(5 << 20), Map.of());
+        assertThat(a.status() == 413 || a.status() == 400 || a.status() == 0).isTrue();
+        assertWhole(chat(mRouter1, "a", true, Map.of()), "a");
+    }
+}
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/Daemon.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/Daemon.java
@@ -27,6 +27,7 @@
 import org.forkseam.platform.http.HttpHostList;
 import org.forkseam.platform.http.HttpObjectStore;
 import org.forkseam.platform.http.HttpTableService;
+import org.forkseam.wire.Link;
 import org.forkseam.wire.WireIdentity;
 import org.forkseam.wire.WireSettings;
 
@@ -269,6 +270,11 @@
         mThread.join();
     }
 
+    /** Closes every link to other daemons, as a failing switch would; for tests. */
+    public void cutLinks() {
+        mLoop.execute(() -> mLinks.open().forEach(Link::close));
+    }
+
     private static void closeAtOnce(Channel channel) {
         try {
             channel.close();
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/router/RequestFlow.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/RequestFlow.java
@@ -4,6 +4,7 @@
 
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpResponse;
+import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 
@@ -46,6 +47,7 @@
 
     private final RouterContext mContext;
     private final CallerRequest mRequest;
+    private final TcpSocket mSocket;
     private final long mArrivedMillis;
     private final SettablePromise<HttpResponse> mResponse = new SettablePromise<>();
     private final CallerStream mStream = new CallerStream(this);
@@ -65,7 +67,8 @@
     private boolean mLastRound;
     private Refused mLastRefused = Refused.notRun(RefusalReason.NO_TARGET, 1_000);
 
-    RequestFlow(RouterContext context, CallerRequest request) {
+    RequestFlow(RouterContext context, CallerRequest request, TcpSocket socket) {
+        mSocket = socket;
         mContext = context;
         mRequest = request;
         mArrivedMillis = context.clock().nowMillis();
@@ -75,7 +78,7 @@
 
     Promise<HttpResponse> start() {
         mContext.counters().onRequest();
-        mContext.onFlowStarted();
+        mContext.onFlowStarted(this);
         mContext.budget().onRequest();
         if (place()) {
             mContext.attempts()
@@ -422,8 +425,28 @@
         }
     }
 
+    TcpSocket socket() {
+        return mSocket;
+    }
+
+    /** Ends the request of a caller whose connection has gone while nothing was written to it. */
+    void onHungUp() {
+        IOException gone = new IOException("the caller has gone");
+        if (mShown) {
+            mSocket.closeEx(gone);
+            return;
+        }
+        onGone();
+        onFinished();
+        mSocket.closeEx(gone);
+        mResponse.trySetException(gone);
+    }
+
     @Override
     public void onGone() {
+        if (mOver) {
+            return;
+        }
         mContext.counters().onCallerGone();
         mOver = true;
         if (mAttempt != null) {
@@ -433,7 +456,7 @@
 
     @Override
     public void onFinished() {
-        mContext.onFlowEnded();
+        mContext.onFlowEnded(this);
     }
 
     private long now() {
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/router/RequestReader.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/RequestReader.java
@@ -108,7 +108,7 @@
             }
         } catch (IOException e) {
             throw new BadRequestException(
-                    BAD_REQUEST, "body is not JSON (" + e.getClass().getSimpleName() + ")");
+                    BAD_REQUEST, "body is not JSON; allowed: a JSON object with model, messages");
         }
         throw bad("body", "a JSON object with model and messages");
     }
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/router/Router.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/Router.java
@@ -6,6 +6,7 @@
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.http.HttpServer;
+import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
 import io.micrometer.core.instrument.MeterRegistry;
 
@@ -61,6 +62,7 @@
     private final Attempts mAttempts;
     private final RouterContext mContext;
     private final RouterCounters mCounters;
+    private final CallerSockets mSockets = new CallerSockets();
     private final Ticker mTicker;
     private HttpServer mServer;
     private boolean mLeaving;
@@ -158,6 +160,7 @@
                                     .withListenAddress(mConfig.listen())
                                     .withMaxBodySize(mConfig.maxBodyBytes())
                                     .withReadWriteTimeout(mConfig.requestTime())
+                                    .withSocketInspector(mSockets)
                                     .withHttpErrorFormatter(this::formatError)
                                     .build();
                     listen();
@@ -177,7 +180,7 @@
                 () -> {
                     mLeaving = true;
                     mDrained = drained;
-                    LOG.info("event=router-leaving in_flight={}", mContext.flows());
+                    LOG.info("event=router-leaving in_flight={}", mContext.flows().size());
                     checkDrained();
                 });
         return drained.thenCompose(v -> closeServer());
@@ -191,20 +194,23 @@
     }
 
     private void checkDrained() {
-        if (mDrained != null && mContext.flows() == 0) {
+        if (mDrained != null && mContext.flows().size() == 0) {
             mDrained.complete(null);
         }
     }
 
     private void tick() {
         mAttempts.cutSilent();
+        List.copyOf(mContext.flows()).stream()
+                .filter(f -> mSockets.isGone(f.socket()))
+                .forEach(RequestFlow::onHungUp);
         checkDrained();
     }
 
     @Override
     public Object dump() {
         Map<String, Object> m = new LinkedHashMap<>();
-        m.put("in_flight", mContext.flows());
+        m.put("in_flight", mContext.flows().size());
         m.put("attempts_open", mAttempts.open());
         m.put("leaving", mLeaving);
         m.put("requests", mCounters.requests());
@@ -249,8 +255,9 @@
         if (chat && http.getMethod() != HttpMethod.POST) {
             return reject(NOT_ALLOWED, "method", http.getMethod() + "; allowed: POST");
         }
+        TcpSocket socket = mSockets.of(http);
         return http.loadBody(mConfig.maxBodyBytes())
-                .then(body -> accept(http, chat, body.getArray()), e -> tooLarge());
+                .then(body -> accept(http, chat, body.getArray(), socket), e -> tooLarge());
     }
 
     private HttpResponse.Builder ready() {
@@ -259,11 +266,12 @@
                 : HttpResponse.ofCode(SERVICE_UNAVAILABLE).withPlainText("not ready\n");
     }
 
-    private Promise<HttpResponse> accept(HttpRequest http, boolean chat, byte[] body) {
+    private Promise<HttpResponse> accept(
+            HttpRequest http, boolean chat, byte[] body, TcpSocket socket) {
         try {
             CallerRequest r =
                     chat ? RequestReader.chat(http, body) : RequestReader.service(http, body);
-            return new RequestFlow(mContext, r).start();
+            return new RequestFlow(mContext, r, socket).start();
         } catch (BadRequestException e) {
             return reject(e.status(), "bad_request", e.getMessage());
         }
@@ -285,6 +293,9 @@
     private Promise<HttpResponse> formatError(Exception e) {
         mCounters.onMalformed();
         Refused r = Refused.failed(RefusalReason.BROKEN_ANSWER, "internal error");
+        if (e instanceof IOException) {
+            return Responses.refused(r).toPromise(); // the caller has gone; nobody reads this
+        }
         if (e instanceof HttpException) {
             return Responses.error(400, "bad_request", "malformed HTTP request").toPromise();
         }
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/router/RouterContext.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/RouterContext.java
@@ -8,6 +8,8 @@
 import org.forkseam.daemon.share.DigestCarrier;
 import org.forkseam.daemon.share.Fleet;
 
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /** Holds what all requests of a router share. Used on the event loop. */
@@ -28,7 +30,7 @@
     private final DecisionLog mDecisions = DecisionLog.of(DecisionLog.DEFAULT_SIZE);
     private final QuotaGate mQuotas = new QuotaGate();
     private long mNextAttempt;
-    private int mFlows;
+    private final Set<RequestFlow> mFlows = new LinkedHashSet<>();
 
     /** Names the router: its host, and when this process started. */
     record Identity(String host, long incarnation, byte[] ticketKey) {}
@@ -116,16 +118,16 @@
         return mQuotas;
     }
 
-    void onFlowStarted() {
-        mFlows++;
+    void onFlowStarted(RequestFlow flow) {
+        mFlows.add(flow);
     }
 
-    void onFlowEnded() {
-        mFlows--;
+    void onFlowEnded(RequestFlow flow) {
+        mFlows.remove(flow);
     }
 
     /** Returns requests whose caller has not got all of its answer yet. */
-    int flows() {
+    Set<RequestFlow> flows() {
         return mFlows;
     }
 
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/HttpTargetClient.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/HttpTargetClient.java
@@ -124,13 +124,22 @@
             }
             mClosed = true;
             // Only a connection that could not be opened proves that nothing was handed over.
-            if (mBody == null && e instanceof ConnectException) {
+            if (mBody == null && isRefused(e)) {
                 mListener.onNotSent(e);
             } else {
                 mListener.onBroken(e);
             }
         }
 
+        private static boolean isRefused(Throwable e) {
+            for (Throwable t = e; t != null; t = t.getCause()) {
+                if (t instanceof ConnectException) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
         private void read() {
             if (mBody == null || mWaiting || !mReading || mClosed) {
                 return;
