Drain without cuts, spread configuration to fresh daemons

Cause, each found by a test that failed first: - A daemon started while the table service is down stayed without a configuration: whoever heard it be behind waited for it to pull, and it heard from nobody (daemonStartedWhileTheStoreIsDown...). Hearing a notice of an older version now pushes what follows. - A target whose labels changed while requests ran kept their count in flight for ever, since the view was replaced and the requests reported their end to the old one (sidecarOfALeavingHost...). Views are now updated in place. - A target that stayed after all was believed to be leaving until somebody sent it a request. Its word is now believed for 5 s, and it tells every link at once when it changes its mind.

Ruled out: the HTTP library's time limits do not cut long streams, and a caller that does not read holds the whole path back (both tested).

--- a/forkseam-bench/src/test/java/org/forkseam/bench/ServingTest.java
+++ b/forkseam-bench/src/test/java/org/forkseam/bench/ServingTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -9,8 +10,9 @@
 
 import java.io.InputStream;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 
 /** The path as callers see it when nothing fails, and what malformed requests get. */
 class ServingTest extends FleetTestBase {
@@ -60,9 +62,9 @@
         try (Socket s = new Socket()) {
             s.connect(mRouter1.callersAddress());
             s.setSoTimeout(20_000);
-            s.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+            s.getOutputStream().write(request.getBytes(UTF_8));
             InputStream in = s.getInputStream();
-            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+            return new String(in.readAllBytes(), UTF_8);
         }
     }
 
@@ -133,4 +135,60 @@
         assertThat(a.status() == 413 || a.status() == 400 || a.status() == 0).isTrue();
         assertWhole(chat(mRouter1, "a", true, Map.of()), "a");
     }
+
+    @Test
+    void slowSenderIsClosedAndLongStreamIsNot() throws Exception {
+        try (Socket s = new Socket()) {
+            s.connect(mRouter1.callersAddress());
+            s.setSoTimeout(20_000);
+            s.getOutputStream().write("POST /v1/chat/completions HTTP/1.1\r\n".getBytes(UTF_8));
+            CompletableFuture<Caller.Answer> stream =
+                    later(
+                            () ->
+                                    mCaller.chat(
+                                            mRouter1.callersAddress(),
+                                            body("long", 400, true),
+                                            Map.of()));
+            assertThat(s.getInputStream().read()).isEqualTo(-1);
+            assertThat(stream.get().text()).isEqualTo(expected("long", 400));
+            assertThat(stream.get().whole()).isTrue();
+        }
+    }
+
+    @Test
+    void callerWhoDoesNotReadHoldsBackTheWholePath() throws Exception {
+        int tokens = 150_000;
+        try (Socket s = new Socket()) {
+            s.setReceiveBufferSize(16 << 10);
+            s.connect(mRouter1.callersAddress());
+            s.setSoTimeout(30_000);
+            String body = "{\"speed\":0," + body("deaf", tokens, true).substring(1);
+            String head = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\n";
+            String length = "Content-Length: " + body.length() + "\r\n\r\n";
+            s.getOutputStream().write((head + length + body).getBytes(UTF_8));
+            double[] last = {-1};
+            Waiting.until(
+                    "the flow has come to a stand",
+                    () -> {
+                        Thread.sleep(300);
+                        double now = sentBySidecars();
+                        boolean still = now > 100_000 && now == last[0];
+                        last[0] = now;
+                        return still;
+                    });
+            assertThat(last[0]).isLessThan(10e6);
+            String all = new String(s.getInputStream().readAllBytes(), UTF_8);
+            assertThat(all).contains("[DONE]");
+            assertThat(sentBySidecars()).isGreaterThan(15e6);
+        }
+    }
+
+    private double sentBySidecars() {
+        double sum = 0;
+        for (String t : List.of("lm-01", "lm-02", "lm-03")) {
+            var counter = mFleet.sidecar(t).registry().get("forkseam.data.bytes");
+            sum += counter.functionCounter().count();
+        }
+        return sum;
+    }
 }
--- a/forkseam-core/src/main/java/org/forkseam/core/member/FleetView.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/FleetView.java
@@ -144,10 +144,9 @@
         TargetView t;
         if (old == null || !old.address().equals(h.address())) {
             t = TargetView.of(name, domain, h.address(), labels, capacity);
-        } else if (old.labels().equals(labels) && old.capacity() == capacity) {
-            t = old;
         } else {
-            t = old.withLabels(domain, labels, capacity);
+            t = old;
+            t.update(domain, labels, capacity);
         }
         t.setLeaving(h.leaving() || mConfig.isDrained(name));
         return t;
--- a/forkseam-core/src/main/java/org/forkseam/core/route/SpillOrder.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/SpillOrder.java
@@ -34,7 +34,7 @@
 
     /** Takes the next candidate, leaving out targets that have said meanwhile that they leave. */
     public Optional<Candidate> next(PoolView pool, long nowMillis) {
-        mLeft.removeIf(c -> c.target().isLeaving());
+        mLeft.removeIf(c -> c.target().isLeaving(nowMillis));
         Optional<Candidate> best =
                 mLeft.stream()
                         .min(
--- a/forkseam-core/src/main/java/org/forkseam/core/route/StdPlacement.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/StdPlacement.java
@@ -115,7 +115,7 @@
 
         private void add(TargetView t, double saved, Candidate.Why why) {
             double share = mDoubtful ? 1 : t.health().share(mNow);
-            if (t.isLeaving() || share == 0) {
+            if (t.isLeaving(mNow) || share == 0) {
                 return;
             }
             for (int i = 0; i < mFound.size(); i++) {
--- a/forkseam-core/src/main/java/org/forkseam/core/route/TargetView.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/TargetView.java
@@ -21,10 +21,10 @@
     private static final long DIGEST_STALE_MILLIS = 5_000;
 
     private final String mName;
-    private final String mFailureDomain;
+    private String mFailureDomain;
     private final String mAddress;
-    private final Labels mLabels;
-    private final int mCapacity;
+    private Labels mLabels;
+    private int mCapacity;
     private final TargetHealth mHealth = new TargetHealth();
     private LoadDigest mDigest;
     private int mInFlight;
@@ -89,9 +89,18 @@
         return mInFlight;
     }
 
-    /** Returns whether the target takes no new work, by the host list or by its own word. */
-    public boolean isLeaving() {
-        return mLeaving || (mDigest != null && mDigest.leaving());
+    /**
+     * Returns whether the target takes no new work, by the host list or by its own word. Its own
+     * word is believed for a while only: a target that stays after all is then tried again.
+     */
+    public boolean isLeaving(long nowMillis) {
+        boolean fresh = mDigest != null && nowMillis - mDigest.atMillis() <= DIGEST_STALE_MILLIS;
+        return mLeaving || (fresh && mDigest.leaving());
+    }
+
+    /** Returns whether the host list or the operators say that the target leaves. */
+    public boolean isDeclaredLeaving() {
+        return mLeaving;
     }
 
     /** Returns the load to reckon with: the newest digest and what this router sent since. */
@@ -154,14 +163,13 @@
         return Math.exp(-Math.max(0, ageMillis) / mCacheLifetime);
     }
 
-    /** Returns a view with new labels that keeps everything observed. */
-    public TargetView withLabels(String failureDomain, Labels labels, int capacity) {
-        TargetView v = new TargetView(mName, failureDomain, mAddress, labels, capacity);
-        v.mDigest = mDigest;
-        v.mInFlight = mInFlight;
-        v.mInFlightAtDigest = mInFlightAtDigest;
-        v.mLeaving = mLeaving;
-        v.mCacheLifetime = mCacheLifetime;
-        return v;
+    /**
+     * Takes changed labels in and keeps everything observed. The view stays the same object, since
+     * requests under way hold on to it to report their end.
+     */
+    public void update(String failureDomain, Labels labels, int capacity) {
+        mFailureDomain = failureDomain;
+        mLabels = labels;
+        mCapacity = capacity;
     }
 }
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/Daemon.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/Daemon.java
@@ -28,6 +28,7 @@
 import org.forkseam.platform.http.HttpObjectStore;
 import org.forkseam.platform.http.HttpTableService;
 import org.forkseam.wire.Link;
+import org.forkseam.wire.WireCounters;
 import org.forkseam.wire.WireIdentity;
 import org.forkseam.wire.WireSettings;
 
@@ -40,6 +41,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 
 /**
@@ -135,27 +137,10 @@
 
     private void build() {
         new JvmMemoryMetrics().bindTo(mRegistry);
-        mRegistry
-                .more()
-                .counter(
-                        "forkseam.control.bytes",
-                        List.of(),
-                        mLinks.counters(),
-                        c -> c.controlBytes());
-        mRegistry
-                .more()
-                .counter(
-                        "forkseam.wire.rejected.peers",
-                        List.of(),
-                        mLinks.counters(),
-                        c -> c.rejectedPeers());
-        mRegistry
-                .more()
-                .counter(
-                        "forkseam.wire.malformed",
-                        List.of(),
-                        mLinks.counters(),
-                        c -> c.malformed());
+        count("forkseam.control.bytes", WireCounters::controlBytes);
+        count("forkseam.data.bytes", WireCounters::dataBytes);
+        count("forkseam.wire.rejected.peers", WireCounters::rejectedPeers);
+        count("forkseam.wire.malformed", WireCounters::malformed);
         mRegistry.gauge("forkseam.config.version", mFleet, f -> f.config().version());
         mKernel.add(mLinks).add(mSync);
         DecisionLog decisions;
@@ -172,6 +157,10 @@
         mKernel.add(mAdmin);
     }
 
+    private void count(String name, ToDoubleFunction<WireCounters> value) {
+        mRegistry.more().counter(name, List.of(), mLinks.counters(), value);
+    }
+
     private Router router() {
         Router.Config config =
                 new Router.Config(
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/router/RequestFlow.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/RequestFlow.java
@@ -177,7 +177,7 @@
     private void sendToLeastLoaded() {
         TargetView best = null;
         for (TargetView t : mPool.targets()) {
-            boolean usable = !t.isLeaving() && t.health().share(now()) > 0;
+            boolean usable = !t.isLeaving(now()) && t.health().share(now()) > 0;
             if (usable && (best == null || relative(t) < relative(best))) {
                 best = t;
             }
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/share/Fleet.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/share/Fleet.java
@@ -134,7 +134,7 @@
         m.put("capacity", t.capacity());
         m.put("load", t.estimatedLoad(now));
         m.put("in_flight", t.inFlight());
-        m.put("leaving", t.isLeaving());
+        m.put("leaving", t.isLeaving(now));
         m.put("health", t.health().share(now));
         t.digest().ifPresent(d -> m.put("digest_age_ms", now - d.atMillis()));
         return m;
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/share/FleetSync.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/share/FleetSync.java
@@ -48,7 +48,7 @@
     private static final int FANOUT = 3;
     private static final int NOTICE_DIGESTS = 3;
     private static final long NOTICE_MILLIS = 1_000;
-    private static final long PULL_AGAIN_MILLIS = 200;
+    private static final long AGAIN_MILLIS = 200;
 
     /** Reads of the head row that all daemons together may cause in a second. */
     private static final double HEAD_READS_PER_SECOND = 50;
@@ -64,7 +64,7 @@
     private final Ticker mHostTicker;
     private final Ticker mConfigTicker;
     private final Ticker mNoticeTicker;
-    private final Map<Link, Long> mPulledAt = new HashMap<>();
+    private final Map<Link, Long> mCaughtUpAt = new HashMap<>();
     private Supplier<Optional<LoadDigest>> mOwnDigest = Optional::empty;
     private DecisionLog mDecisions = DecisionLog.of(0);
     private boolean mHostsDown;
@@ -270,6 +270,9 @@
         if (p.getConfigVersion() > mFleet.config().version()) {
             pull(link);
         }
+        if (p.hasLoadNotice() && p.getConfigVersion() < mFleet.config().version()) {
+            pushTo(link, p.getConfigVersion());
+        }
         switch (p.getBodyCase()) {
             case CONFIG_PULL -> answerPull(link, p.getConfigPull());
             case CONFIG_PUSH -> onPush(link, p.getConfigPush());
@@ -286,7 +289,7 @@
 
     @Override
     public void onClosed(Link link) {
-        mPulledAt.remove(link);
+        mCaughtUpAt.remove(link);
     }
 
     private void onNotice(Link link, LoadNotice notice) {
@@ -294,24 +297,42 @@
                 .forEach(d -> mFleet.view().onDigest(d));
     }
 
-    private void pull(Link link) {
+    /** Returns whether a link may be used for catching up again so soon. */
+    private boolean mayUse(Link link) {
         long now = mClock.nowMillis();
-        Long last = mPulledAt.get(link);
-        if (last != null && now - last < PULL_AGAIN_MILLIS) {
+        Long last = mCaughtUpAt.get(link);
+        if (last != null && now - last < AGAIN_MILLIS) {
+            return false;
+        }
+        mCaughtUpAt.put(link, now);
+        return true;
+    }
+
+    private void pull(Link link) {
+        if (!mayUse(link)) {
             return;
         }
-        mPulledAt.put(link, now);
         ConfigPull pull = ConfigPull.newBuilder().setFromVersion(mFleet.config().version()).build();
         link.send(packet().setConfigPull(pull).build());
     }
 
     private void answerPull(Link link, ConfigPull pull) {
-        if (pull.getFromVersion() >= mFleet.config().version()) {
-            return;
+        if (pull.getFromVersion() < mFleet.config().version()) {
+            send(link, pull.getFromVersion());
+        }
+    }
+
+    /** Brings a daemon forward that was heard to be behind. */
+    private void pushTo(Link link, long fromVersion) {
+        if (mayUse(link)) {
+            send(link, fromVersion);
         }
+    }
+
+    private void send(Link link, long fromVersion) {
         ConfigPush push =
                 mFleet.log()
-                        .since(pull.getFromVersion())
+                        .since(fromVersion)
                         .map(Codec::push)
                         .orElseGet(() -> Codec.push(mFleet.config()));
         link.send(packet().setConfigPush(push).build());
@@ -342,7 +363,7 @@
                         : Codec.push(List.of(history.get(history.size() - 1)));
         Packet packet = packet().setConfigPush(push).build();
         for (int i = 0; i < FANOUT; i++) {
-            randomPeer(false)
+            randomPeer()
                     .ifPresent(
                             h ->
                                     mLinks.to(h.address())
@@ -363,7 +384,7 @@
         mOwnDigest.get().ifPresent(d -> b.addDigests(Codec.ownToWire(d, now)));
         newest().forEach(d -> b.addDigests(Codec.toWire(d, now)));
         Packet packet = packet().setLoadNotice(b).build();
-        randomPeer(true).ifPresent(h -> mLinks.to(h.address()).thenAccept(l -> l.send(packet)));
+        randomPeer().ifPresent(h -> mLinks.to(h.address()).thenAccept(l -> l.send(packet)));
     }
 
     private List<LoadDigest> newest() {
@@ -386,11 +407,9 @@
                         });
     }
 
-    private Optional<HostEntry> randomPeer(boolean targetsOnly) {
+    private Optional<HostEntry> randomPeer() {
         List<HostEntry> peers =
-                mFleet.view().hosts().stream()
-                        .filter(h -> !h.host().equals(mHost) && (!targetsOnly || h.isTarget()))
-                        .toList();
+                mFleet.view().hosts().stream().filter(h -> !h.host().equals(mHost)).toList();
         return peers.isEmpty()
                 ? Optional.empty()
                 : Optional.of(peers.get(mRandom.nextInt(peers.size())));
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Sidecar.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Sidecar.java
@@ -6,7 +6,6 @@
 import org.forkseam.core.claim.ClaimRow;
 import org.forkseam.core.label.Selector;
 import org.forkseam.core.load.LoadDigest;
-import org.forkseam.core.member.HostEntry;
 import org.forkseam.core.outcome.RefusalReason;
 import org.forkseam.core.outcome.Refused;
 import org.forkseam.core.route.PoolView;
@@ -158,15 +157,23 @@
         mLoop.execute(
                 () -> {
                     mDrained = drained;
-                    leave();
+                    setLeaving(true);
                     checkDrained();
                 });
         return drained.whenComplete((v, e) -> mTicker.stop());
     }
 
-    private void leave() {
-        mGate.setLeaving(true);
-        LOG.info("event=target-leaving target={} load={}", mConfig.target(), mGate.load());
+    /** Refuses from this instant, and tells every daemon that has a link here. */
+    private void setLeaving(boolean leaving) {
+        if (leaving == mGate.isLeaving()) {
+            return;
+        }
+        mGate.setLeaving(leaving);
+        LOG.info(
+                "event=target target={} leaving={} load={}",
+                mConfig.target(),
+                leaving,
+                mGate.load());
         mLinks.open().forEach(this::sendNotice);
     }
 
@@ -205,15 +212,12 @@
             others.remove(mConfig.target());
             mGate.setMembers(p.spec().name(), others);
         }
-        boolean listed =
-                mFleet.view().target(mConfig.target()).map(TargetView::isLeaving).orElse(false);
-        boolean drained = mFleet.config().isDrained(mConfig.target());
-        boolean byList = listed && mFleet.view().hosts().stream().anyMatch(this::isOwnLeaving);
-        mGate.setLeaving(mDrained != null || drained || byList);
-    }
-
-    private boolean isOwnLeaving(HostEntry h) {
-        return h.leaving() && h.labels().get("target").orElse("").equals(mConfig.target());
+        boolean declared =
+                mFleet.view()
+                        .target(mConfig.target())
+                        .map(TargetView::isDeclaredLeaving)
+                        .orElse(false);
+        setLeaving(mDrained != null || declared);
     }
 
     private void tick() {
--- a/forkseam-standin/src/main/java/org/forkseam/standin/EngineStandin.java
+++ b/forkseam-standin/src/main/java/org/forkseam/standin/EngineStandin.java
@@ -266,6 +266,7 @@
         private final boolean mStream;
         private final boolean mUsage;
         private final int mPriority;
+        private final long mTokenMillis;
         private final long mArrival = mArrivals++;
         private final List<byte[]> mEvents = new ArrayList<>();
         private final List<Runnable> mFollowers = new ArrayList<>();
@@ -282,6 +283,7 @@
             mTokens = body.path("max_tokens").asInt(DEFAULT_TOKENS);
             mStream = body.path("stream").asBoolean();
             mUsage = body.path("stream_options").path("include_usage").asBoolean();
+            mTokenMillis = body.path("speed").asLong(mSpeed.tokenMillis());
             mPriority = body.path("priority").asInt(5);
         }
 
@@ -312,7 +314,7 @@
             }
             if (mMade < mTokens) {
                 emit(chunk(token(mPrompt, mMade++)));
-                later(mSpeed.tokenMillis(), this::step);
+                later(mTokenMillis, this::step);
                 return;
             }
             if (mUsage) {
