--- a/forkseam-bench/src/main/java/org/forkseam/bench/Caller.java
+++ b/forkseam-bench/src/main/java/org/forkseam/bench/Caller.java
@@ -61,6 +61,34 @@
         return send(router, "POST", "/v1/chat/completions", body, headers);
     }
 
+    /**
+     * Holds an answer with the time to its first line.
+     *
+     * @param answer the answer
+     * @param firstMicros microseconds from sending to the first line
+     */
+    public record Timed(Answer answer, long firstMicros) {
+        /** Returns milliseconds to the first line. */
+        public long firstMillis() {
+            return firstMicros / 1000;
+        }
+    }
+
+    /** Sends a chat and notes when its answer began. */
+    public Timed timed(InetSocketAddress router, String body, Map<String, String> headers)
+            throws InterruptedException {
+        long[] first = {0};
+        long start = System.nanoTime();
+        Answer a = send(router, "POST", "/v1/chat/completions", body, headers, () -> note(first));
+        return new Timed(a, (Math.max(first[0], start) - start) / 1000);
+    }
+
+    private static void note(long[] first) {
+        if (first[0] == 0) {
+            first[0] = System.nanoTime();
+        }
+    }
+
     /** Sends any request and reads the whole answer. */
     public Answer send(
             InetSocketAddress router,
@@ -69,6 +97,17 @@
             String body,
             Map<String, String> headers)
             throws InterruptedException {
+        return send(router, method, path, body, headers, () -> {});
+    }
+
+    private Answer send(
+            InetSocketAddress router,
+            String method,
+            String path,
+            String body,
+            Map<String, String> headers,
+            Runnable onLine)
+            throws InterruptedException {
         HttpRequest.Builder b =
                 HttpRequest.newBuilder(URI.create("http://" + LocalFleet.text(router) + path))
                         .timeout(TIMEOUT)
@@ -83,7 +122,11 @@
         }
         boolean broken = false;
         try (var all = r.body()) {
-            all.forEach(lines::add);
+            all.forEach(
+                    line -> {
+                        onLine.run();
+                        lines.add(line);
+                    });
         } catch (UncheckedIOException e) {
             broken = true;
         }
--- a/forkseam-bench/src/main/java/org/forkseam/bench/Operator.java
+++ b/forkseam-bench/src/main/java/org/forkseam/bench/Operator.java
@@ -24,12 +24,12 @@
 
     /** Creates an operator who talks to one daemon. */
     public static Operator of(Daemon daemon) {
-        return new Operator(
-                Map.of(
-                        "FORKSEAM_ADDRESS",
-                        LocalFleet.text(daemon.operatorsAddress()),
-                        "FORKSEAM_KEY",
-                        LocalFleet.OPERATORS_KEY));
+        return at(LocalFleet.text(daemon.operatorsAddress()), LocalFleet.OPERATORS_KEY);
+    }
+
+    /** Creates an operator who talks to the daemon at an address. */
+    public static Operator at(String address, String key) {
+        return new Operator(Map.of("FORKSEAM_ADDRESS", address, "FORKSEAM_KEY", key));
     }
 
     /** Runs a command. */
