Tell sidecars the pool's load as a sum, fresh with each request

Cause: sidecars knew the others' load by single digests on requests, each some 0.65 s old at 12 targets under a budget of 900 bytes a second, as long as a request runs.

Ruled out: a larger budget (3 KB a second is the cap at the size aimed at). A router hears from every target of a small pool some 80 ms apart, so its sum is far fresher than what it can pass on one by one, and costs 3 bytes. When all have refused, the last try rests on the words just heard.

--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/router/RequestFlow.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/RequestFlow.java
@@ -28,7 +28,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -194,7 +193,7 @@
                         best.estimatedLoad(now()),
                         mPool.limit(best, now()),
                         Candidate.Why.LOW_LOAD);
-        send(c, mContext.digests().all(mPool, best.name()));
+        send(c, List.of());
     }
 
     private double relative(TargetView t) {
@@ -226,11 +225,21 @@
                         .setStripUsage(f.stripUsage())
                         .setFingerprint(f.fingerprint())
                         .addAllDigests(digests)
+                        .setOthersLoad(othersLoad(c.target()))
+                        .setOthersRefused(mLastRound)
                         .build();
         mAttempt = new Attempt(mContext.attempts(), c, s, this);
         mAttempt.start();
     }
 
+    private int othersLoad(TargetView target) {
+        long sum = 0;
+        for (TargetView t : mPool.targets()) {
+            sum += t == target ? 0 : t.estimatedLoad(now());
+        }
+        return (int) sum;
+    }
+
     private void onLate() {
         if (!mOver && mHead == null && mAttempt != null) {
             mAttempt.cancel();
@@ -384,7 +393,7 @@
         mLastRefused = Refused.mayHaveRun(RefusalReason.CLAIMED_ELSEWHERE);
         mOrder = SpillOrder.of(List.of());
         Candidate c = new Candidate(owner.get(), 0, 0, 0, 0, Candidate.Why.UNSCORED);
-        send(c, new ArrayList<>());
+        send(c, List.of());
     }
 
     // ---------------------------------------------------------------- to the caller
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/share/DigestCarrier.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/share/DigestCarrier.java
@@ -21,7 +21,7 @@
  */
 public final class DigestCarrier {
     private static final int DIGEST_BYTES = 18;
-    private static final int BUDGET_BYTES = 900;
+    private static final int BUDGET_BYTES = 300;
     private static final int USUAL = 2;
     private static final long WORTH_MILLIS = 3_000;
 
@@ -60,21 +60,6 @@
         return out;
     }
 
-    /**
-     * Returns every digest of a pool that is worth having: a target that refused by what it
-     * believed of the others is told what this daemon knows, outside the budget.
-     */
-    public List<org.forkseam.wire.proto.LoadDigest> all(PoolView pool, String except) {
-        long now = mClock.nowMillis();
-        List<org.forkseam.wire.proto.LoadDigest> out = new ArrayList<>();
-        for (TargetView t : pool.targets()) {
-            if (!t.name().equals(except)) {
-                t.digest().ifPresent(d -> out.add(Codec.toWire(d, now)));
-            }
-        }
-        return out;
-    }
-
     private void draw(
             PoolView pool, String except, int count, List<org.forkseam.wire.proto.LoadDigest> out) {
         long now = mClock.nowMillis();
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Sidecar.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Sidecar.java
@@ -293,6 +293,7 @@
                 pool.map(v -> v.targets().stream().mapToLong(TargetView::capacity).sum())
                         .orElse((long) mConfig.capacity());
         int members = pool.map(v -> v.targets().size()).orElse(1);
+        mGate.onOthersLoad(s.getPool(), s.getOthersLoad(), s.getOthersRefused());
         mGate.enter(
                         e,
                         spec,
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/TargetGate.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/TargetGate.java
@@ -31,6 +31,8 @@
 public final class TargetGate<T> {
     private static final double FIRST_SERVICE_MILLIS = 200;
     private static final double SMOOTHING = 0.05;
+    private static final long TOLD_MILLIS = 1_000;
+    private static final double TOLD_SMOOTHING = 0.5;
     private static final int QUEUE_LIMIT_WITHOUT_POOL = 256;
 
     private final String mTarget;
@@ -39,6 +41,7 @@
     private final RandomGenerator mRandom;
     private final Starter<T> mStarter;
     private final Map<String, PoolLoad> mPools = new HashMap<>();
+    private final Map<String, Others> mOthers = new HashMap<>();
     private FairQueue<T> mQueue = FairQueue.of(QUEUE_LIMIT_WITHOUT_POOL);
     private int mQueueLimit = QUEUE_LIMIT_WITHOUT_POOL;
     private int mRunning;
@@ -47,6 +50,9 @@
     private double mServiceMillis = FIRST_SERVICE_MILLIS;
     private int mMaxLoad;
 
+    /** Holds what routers say of the other targets' load together. */
+    private record Others(double load, long atMillis) {}
+
     /** Is told when a waiting request may start, or must go. */
     public interface Starter<T> {
         /** Starts a request; {@link #release} must follow when it ends. */
@@ -86,6 +92,19 @@
         mPools.values().forEach(p -> p.merge(digest));
     }
 
+    /**
+     * Takes in what a router reckons the pool's other targets carry.
+     *
+     * @param afterRefusals whether it rests on the words of all of them, said just now
+     */
+    public void onOthersLoad(String pool, int load, boolean afterRefusals) {
+        long now = mClock.nowMillis();
+        Others old = mOthers.get(pool);
+        boolean mix = old != null && !afterRefusals && now - old.atMillis() <= TOLD_MILLIS;
+        double next = mix ? old.load() + TOLD_SMOOTHING * (load - old.load()) : load;
+        mOthers.put(pool, new Others(next, now));
+    }
+
     /** Returns the digest of this target. */
     public LoadDigest digest() {
         mSequence = Math.max(mSequence, mClock.nowMillis());
@@ -170,11 +189,9 @@
     }
 
     private Admission.Facts facts(PoolSpec pool, long poolCapacity, int memberCount) {
-        PoolLoad heard = mPools.computeIfAbsent(pool.name(), k -> new PoolLoad());
-        // Targets not heard of yet are taken to carry what the others carry on average.
-        int unheard = Math.max(0, memberCount - 1 - heard.size());
-        double mean = heard.size() == 0 ? load() : (double) heard.totalLoad() / heard.size();
-        long others = heard.totalLoad() + Math.round(unheard * mean);
+        Others told = mOthers.get(pool.name());
+        boolean fresh = told != null && mClock.nowMillis() - told.atMillis() <= TOLD_MILLIS;
+        long others = fresh ? Math.round(told.load()) : heardOf(pool.name(), memberCount);
         return new Admission.Facts(
                 mLeaving,
                 mRunning,
@@ -186,6 +203,14 @@
                 mServiceMillis);
     }
 
+    /** Targets not heard of yet are taken to carry what the others carry on average. */
+    private long heardOf(String pool, int memberCount) {
+        PoolLoad heard = mPools.computeIfAbsent(pool, k -> new PoolLoad());
+        int unheard = Math.max(0, memberCount - 1 - heard.size());
+        double mean = heard.size() == 0 ? load() : (double) heard.totalLoad() / heard.size();
+        return heard.totalLoad() + Math.round(unheard * mean);
+    }
+
     private long retryAfter(Admission.Facts facts, int ahead) {
         return RetryAfter.spread(Admission.expectedWaitMillis(facts, ahead), mRandom);
     }
