--- a/forkseam-bench/src/main/java/org/forkseam/bench/Bench.java
+++ b/forkseam-bench/src/main/java/org/forkseam/bench/Bench.java
@@ -16,6 +16,7 @@
  * Measures placements under conditions on whole fleets, prints a table and writes CSV and a plot.
  */
 public final class Bench {
+    private static final int WARM_UP_SECONDS = 8;
     private static final String ALL_PLACEMENTS =
             "std,consistent-hash,two-choices,round-robin,random";
 
@@ -73,6 +74,9 @@
     }
 
     private void run() throws Exception {
+        // The first run in a fresh process is slower than all that follow.
+        Trace.Shape warmUp = new Trace.Shape(WARM_UP_SECONDS, mRate, mChats, 10, false);
+        Experiment.run(new Experiment.Plan("ertis", "quiet", "two-choices", warmUp, mSeed));
         List<Map<String, Object>> rows = new ArrayList<>();
         for (String deployment : mDeployments.split(",")) {
             for (String condition : mConditions.split(",")) {
--- a/forkseam-core/src/main/java/org/forkseam/core/route/StdPlacement.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/StdPlacement.java
@@ -25,7 +25,10 @@
     /** Tokens that a load above the mean by the mean itself is worth. */
     private static final double LOAD_PRICE_REUSE = 600;
 
-    private static final double LOAD_PRICE_SKEW = 6000;
+    /** What load below the mean counts for, against load above: a cached chat stays for it. */
+    private static final double BELOW_MEAN = 0.1;
+
+    private static final double LOAD_PRICE_SKEW = 2200;
     private static final double HEALTH_PRICE = 20_000;
 
     private final PrefixDirectory mPrefixes;
@@ -134,7 +137,8 @@
             int load = t.estimatedLoad(mNow);
             double mean = Math.max(1.0 / t.capacity(), mPool.meanPerCapacity(mNow));
             double over = (load + 1.0) / t.capacity() / mean - 1;
-            double score = saved - mPrice * over - HEALTH_PRICE * (1 - share);
+            double price = over > 0 ? mPrice : mPrice * BELOW_MEAN;
+            double score = saved - price * over - HEALTH_PRICE * (1 - share);
             return new Candidate(t, score, saved, load, mPool.limit(t, mNow), why);
         }
 
