--- /dev/null
+++ b/forkseam-bench/src/test/java/org/forkseam/bench/OrdersTest.java
@@ -0,0 +1,80 @@
+package org.forkseam.bench;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import org.forkseam.standin.EngineStandin;
+import org.junit.jupiter.api.Test;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/** What a deployment declares is what its engines come to run, ordered by one holder at a time. */
+class OrdersTest extends FleetTestBase {
+    private static final String DEPLOYMENT =
+            """
+            [deployment lm]
+            selector = model=forecast-lm
+            model = forecast-lm
+            version = %s
+            max-unavailable = 1
+            """;
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private int running(String version) {
+        int n = 0;
+        for (EngineStandin e : mFleet.engines().values()) {
+            if (!e.orders().isEmpty()) {
+                String last = e.orders().get(e.orders().size() - 1);
+                n += last.contains("\"version\":\"" + version + "\"") ? 1 : 0;
+            }
+        }
+        return n;
+    }
+
+    @Test
+    void enginesAreOrderedOneAfterAnotherAndAHolderThatIsLostIsSucceeded() throws Exception {
+        assertThat(mOperator.apply(DEPLOYMENT.formatted("2")).code()).isEqualTo(0);
+        Waiting.until("all run version 2", () -> running("2") == 3);
+        Set<String> fences = fences();
+        assertThat(fences).hasSize(1);
+        String holder = holder();
+        if (holder.startsWith("entry-")) {
+            mFleet.killRouter(holder);
+        } else {
+            mFleet.killSidecar(holder.substring("host-".length()));
+        }
+        int left = holder.startsWith("host-lm") ? 2 : 3;
+        Operator o = Operator.of(mFleet.daemons().get(0));
+        assertThat(o.apply(DEPLOYMENT.formatted("3")).code()).isEqualTo(0);
+        Waiting.until("a new holder orders version 3", () -> running("3") >= Math.min(1, left));
+        assertThat(fences().size()).isGreaterThan(1);
+    }
+
+    private Set<String> fences() {
+        Set<String> out = new HashSet<>();
+        for (EngineStandin e : mFleet.engines().values()) {
+            e.orders().forEach(o -> out.add(o.replaceAll(".*\"fence\":(\\d+).*", "$1")));
+        }
+        return out;
+    }
+
+    private String holder() throws Exception {
+        String[] found = {""};
+        Waiting.until(
+                "somebody holds the lease",
+                () -> {
+                    for (var d : mFleet.daemons()) {
+                        JsonNode n = JSON.readTree(Operator.of(d).run("dump").out());
+                        if (n.path("rollouts").path("lm").path("holder").asBoolean()) {
+                            found[0] = n.path("host").asText();
+                        }
+                    }
+                    return !found[0].isEmpty();
+                });
+        return found[0];
+    }
+}
--- a/forkseam-bench/src/test/java/org/forkseam/bench/ProcessTest.java
+++ b/forkseam-bench/src/test/java/org/forkseam/bench/ProcessTest.java
@@ -143,8 +143,13 @@
         Path config =
                 Files.writeString(
                         mDir.resolve("fleet.conf"),
-                        "[pool lm]\nselector = model=forecast-lm\nmax-load-multiple = 4\n"
-                                + "[intent all]\npool = lm\n");
+"""
+[pool lm]
+selector = model=forecast-lm
+max-load-multiple = 4
+[intent all]
+pool = lm
+""");
         assertThat(operator("apply", "-f", config.toString()).code()).isEqualTo(0);
         for (InetSocketAddress r : mCallers.values()) {
             Waiting.until(
--- a/forkseam-bench/src/test/java/org/forkseam/bench/ServingTest.java
+++ b/forkseam-bench/src/test/java/org/forkseam/bench/ServingTest.java
@@ -42,9 +42,7 @@
     @Test
     void usageGoesOnlyToCallersWhoAskedForIt() throws Exception {
         String plain = body("a", 4, true);
-        String asking =
-                plain.replace(
-                        "{\"model\"", "{\"stream_options\":{\"include_usage\":true},\"model\"");
+        String asking = ASK + plain.substring(1);
         assertThat(raw(plain)).doesNotContain("usage");
         assertThat(raw(asking)).contains("cached_tokens");
     }
@@ -99,6 +97,7 @@
                 "CALL|{}|Request-Id=a b|400|1 to 128",
                 "CALL|{}|Unrepeatable=perhaps|400|true or false",
                 "CALL|{}|Unrepeatable=true|400|Request-Id",
+                "CALL|{}|Issued-At-Ms=now|400|milliseconds",
                 "CALL|{}|Labels=x|400|name=value",
             })
     void badRequestNamesWhatIsAllowed(
--- a/forkseam-core/src/main/java/org/forkseam/core/cfg/ConfigReader.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/cfg/ConfigReader.java
@@ -3,6 +3,8 @@
 import org.forkseam.core.label.LabelSyntaxException;
 import org.forkseam.core.label.Labels;
 import org.forkseam.core.label.Selector;
+import org.forkseam.core.orders.DeploymentSpec;
+import org.forkseam.core.orders.EngineState;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -25,13 +27,23 @@
                     "intent",
                     Set.of("selector", "pool", "order", "priority"),
                     "target",
-                    Set.of("labels", "drained"));
+                    Set.of("labels", "drained"),
+                    "deployment",
+                    Set.of(
+                            "selector",
+                            "model",
+                            "adapter",
+                            "version",
+                            "role",
+                            "targets",
+                            "max-unavailable"));
 
     private final List<Finding> mFindings = new ArrayList<>();
     private final Map<String, PoolSpec> mPools = new TreeMap<>();
     private final Map<String, TeamSpec> mTeams = new TreeMap<>();
     private final Map<String, TargetSpec> mTargets = new TreeMap<>();
     private final Map<String, IntentSpec> mIntents = new TreeMap<>();
+    private final Map<String, DeploymentSpec> mDeployments = new TreeMap<>();
     private List<IntentSpec> mOrdered = List.of();
 
     private ConfigReader() {}
@@ -60,6 +72,10 @@
         return mTargets;
     }
 
+    Map<String, DeploymentSpec> deployments() {
+        return mDeployments;
+    }
+
     List<IntentSpec> intents() {
         return mOrdered;
     }
@@ -70,7 +86,11 @@
         String name = space < 0 ? "" : section.substring(space + 1).trim();
         Set<String> keys = KEYS.get(kind);
         if (keys == null || name.isEmpty() || name.contains(" ")) {
-            add(section, "", "", "[pool NAME], [team NAME], [intent NAME] or [target NAME]");
+            add(
+                    section,
+                    "",
+                    "",
+                    "[pool NAME], [team NAME], [intent NAME], [target NAME] or [deployment NAME]");
             return;
         }
         Section s = new Section(section, values);
@@ -83,7 +103,8 @@
             case "pool" -> readPool(name, s);
             case "team" -> readTeam(name, s);
             case "intent" -> readIntent(name, s);
-            default -> readTarget(name, s);
+            case "target" -> readTarget(name, s);
+            default -> readDeployment(name, s);
         }
     }
 
@@ -126,6 +147,26 @@
         mTargets.put(name, new TargetSpec(name, s.labels(), drained.equals("true")));
     }
 
+    private void readDeployment(String name, Section s) {
+        EngineState wish =
+                new EngineState(
+                        s.values().getOrDefault("model", ""),
+                        s.values().getOrDefault("adapter", ""),
+                        s.values().getOrDefault("version", ""),
+                        s.values().getOrDefault("role", ""));
+        if (wish.model().isEmpty()) {
+            add(s.name(), "model", "", "the name of a model");
+        }
+        DeploymentSpec d =
+                new DeploymentSpec(
+                        name,
+                        s.selector(),
+                        wish,
+                        (int) s.number("targets", 0, 0, 100_000),
+                        (int) s.number("max-unavailable", 1, 1, 1_000));
+        mDeployments.put(name, d);
+    }
+
     private void checkReferences() {
         List<String> earlier = new ArrayList<>();
         String catchAll = null;
--- a/forkseam-core/src/main/java/org/forkseam/core/cfg/FleetConfig.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/cfg/FleetConfig.java
@@ -1,6 +1,7 @@
 package org.forkseam.core.cfg;
 
 import org.forkseam.core.label.Labels;
+import org.forkseam.core.orders.DeploymentSpec;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -111,6 +112,11 @@
         return mReader.intents();
     }
 
+    /** Returns all deployments. */
+    public Collection<DeploymentSpec> deployments() {
+        return mReader.deployments().values();
+    }
+
     /** Returns the labels that operators gave a target. */
     public Labels targetLabels(String target) {
         TargetSpec t = mReader.targets().get(target);
--- /dev/null
+++ b/forkseam-core/src/main/java/org/forkseam/core/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Who may act for the fleet, and fences that keep former holders out. */
+package org.forkseam.core.lease;
--- a/forkseam-core/src/main/java/org/forkseam/core/route/HomeTable.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/HomeTable.java
@@ -50,7 +50,7 @@
 
     /** Builds the table of a changed set of members, counting anew only the slots that changed. */
     public HomeTable with(List<Member> members) {
-        return build(members, this);
+        return members.equals(mMembers) ? this : build(members, this);
     }
 
     private static HomeTable build(List<Member> members, HomeTable old) {
--- a/forkseam-core/src/main/java/org/forkseam/core/route/PoolView.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/PoolView.java
@@ -23,15 +23,16 @@
     private final PoolSpec mSpec;
     private final List<TargetView> mTargets;
     private final Map<String, TargetView> mByName = new HashMap<>();
-    private final HomeTable mHomes;
+    private final Optional<HomeTable> mOlderHomes;
+    private HomeTable mHomes;
     private final long mTotalCapacity;
     private long mSumAtMillis = Long.MIN_VALUE;
     private long mSum;
 
-    private PoolView(PoolSpec spec, List<TargetView> targets, HomeTable homes) {
+    private PoolView(PoolSpec spec, List<TargetView> targets, Optional<HomeTable> olderHomes) {
         mSpec = spec;
         mTargets = targets;
-        mHomes = homes;
+        mOlderHomes = olderHomes;
         targets.forEach(t -> mByName.put(t.name(), t));
         mTotalCapacity = targets.stream().mapToLong(TargetView::capacity).sum();
     }
@@ -39,15 +40,14 @@
     /** Creates the view of a pool with these members. */
     public static PoolView of(PoolSpec spec, Collection<TargetView> members) {
         List<TargetView> sorted = sort(members);
-        return new PoolView(spec, sorted, HomeTable.of(table(sorted)));
+        return new PoolView(spec, sorted, Optional.empty());
     }
 
     /** Returns the view of the same pool with changed members. */
     public PoolView with(PoolSpec spec, Collection<TargetView> members) {
         List<TargetView> sorted = sort(members);
-        List<HomeTable.Member> t = table(sorted);
-        HomeTable homes = t.equals(mHomes.members()) ? mHomes : mHomes.with(t);
-        return new PoolView(spec, sorted, homes);
+        Optional<HomeTable> older = mHomes == null ? mOlderHomes : Optional.of(mHomes);
+        return new PoolView(spec, sorted, older);
     }
 
     private static List<TargetView> sort(Collection<TargetView> members) {
@@ -79,12 +79,21 @@
 
     /** Returns the target that is a chat's home of some rank. */
     public TargetView home(long chat, int rank) {
-        return mTargets.get(mHomes.home(chat, rank));
+        return mTargets.get(homes().home(chat, rank));
     }
 
     /** Returns how many homes each chat has. */
     public int homeCount() {
-        return mHomes.depth();
+        return homes().depth();
+    }
+
+    /** Sidecars never ask for homes, so the table is made at the first question. */
+    private HomeTable homes() {
+        if (mHomes == null) {
+            List<HomeTable.Member> t = table(mTargets);
+            mHomes = mOlderHomes.map(o -> o.with(t)).orElseGet(() -> HomeTable.of(t));
+        }
+        return mHomes;
     }
 
     /** Returns the load of the whole pool; summed at most once a millisecond. */
--- a/forkseam-core/src/main/java/org/forkseam/core/route/TargetView.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/TargetView.java
@@ -158,6 +158,12 @@
         }
     }
 
+    /** Takes in how long the target keeps a prefix by its own cache events. */
+    public void onCacheLifetime(long millis) {
+        mCacheLifetime =
+                Math.max(MIN_LIFETIME_MILLIS, Math.min(MAX_LIFETIME_MILLIS, (double) millis));
+    }
+
     /** Returns the chance that a prefix last used so long ago is still cached there. */
     public double chanceHeld(long ageMillis) {
         return Math.exp(-Math.max(0, ageMillis) / mCacheLifetime);
--- a/forkseam-core/src/test/java/org/forkseam/core/claim/ClaimModelCheckTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/claim/ClaimModelCheckTest.java
@@ -211,7 +211,8 @@
             a.mLife = mLives.get(s);
             a.mNonce = "n" + i;
             mOwn.put(a.mNonce, OwnState.ACTIVE);
-            ClaimRow row = new ClaimRow(ClaimRow.State.CLAIMED, s, a.mLife, a.mNonce, "same", "");
+            ClaimRow row =
+                    new ClaimRow(ClaimRow.State.CLAIMED, s, a.mLife, a.mNonce, "same", "", 0);
             a.mProtocol = ClaimProtocol.of(row, this::own);
             next(a, a.mProtocol.start());
         }
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/Daemon.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/Daemon.java
@@ -12,21 +12,27 @@
 import org.forkseam.daemon.cfg.Settings;
 import org.forkseam.daemon.kernel.Kernel;
 import org.forkseam.daemon.net.Links;
+import org.forkseam.daemon.orders.OrderDesk;
+import org.forkseam.daemon.orders.Rollouts;
 import org.forkseam.daemon.router.Router;
+import org.forkseam.daemon.share.ClaimSweeper;
 import org.forkseam.daemon.share.ConfigAuthor;
 import org.forkseam.daemon.share.ConfigStore;
 import org.forkseam.daemon.share.DecisionLog;
 import org.forkseam.daemon.share.Fleet;
 import org.forkseam.daemon.share.FleetSync;
+import org.forkseam.daemon.sidecar.CacheWatch;
 import org.forkseam.daemon.sidecar.ClaimStore;
 import org.forkseam.daemon.sidecar.Claims;
 import org.forkseam.daemon.sidecar.HttpTargetClient;
 import org.forkseam.daemon.sidecar.Sidecar;
 import org.forkseam.daemon.sidecar.SidecarCounters;
+import org.forkseam.platform.WeightStore;
 import org.forkseam.platform.http.Http;
 import org.forkseam.platform.http.HttpHostList;
 import org.forkseam.platform.http.HttpObjectStore;
 import org.forkseam.platform.http.HttpTableService;
+import org.forkseam.platform.http.HttpWeightStore;
 import org.forkseam.wire.Link;
 import org.forkseam.wire.WireCounters;
 import org.forkseam.wire.WireIdentity;
@@ -143,6 +149,8 @@
         count("forkseam.wire.malformed", WireCounters::malformed);
         mRegistry.gauge("forkseam.config.version", mFleet, f -> f.config().version());
         mKernel.add(mLinks).add(mSync);
+        mKernel.add(ClaimSweeper.of(mLoop, mClock, mFleet, mTable, host()));
+        mKernel.add(rollouts());
         DecisionLog decisions;
         if (mSettings.isRouter()) {
             mRouter = router();
@@ -161,6 +169,15 @@
         mRegistry.more().counter(name, List.of(), mLinks.counters(), value);
     }
 
+    private Rollouts rollouts() {
+        Optional<WeightStore> weights =
+                mSettings
+                        .optional(SettingKey.WEIGHT_STORE)
+                        .map(url -> HttpWeightStore.of(mHttp, url));
+        Rollouts.Parts parts = new Rollouts.Parts(mFleet, mSync, mLinks, mTable, weights);
+        return Rollouts.of(mLoop, mClock, parts, host());
+    }
+
     private Router router() {
         Router.Config config =
                 new Router.Config(
@@ -191,7 +208,12 @@
                         mLinks,
                         HttpTargetClient.of(mLoop, mSettings.text(SettingKey.TARGET_URL)),
                         Claims.of(ClaimStore.of(mLoop, mTable), target, mIncarnation),
+                        CacheWatch.of(mLoop, mHttp, mSettings.text(SettingKey.TARGET_URL), mClock),
                         SidecarCounters.of(mRegistry));
+        if (mSettings.text(SettingKey.TARGET_KIND).equals("engine")) {
+            String url = mSettings.text(SettingKey.TARGET_URL);
+            mLinks.addSink(OrderDesk.of(mHttp, url, mTable, mSync::packet));
+        }
         Sidecar s = Sidecar.of(mLoop, mClock, config, parts, mRandom);
         mRegistry.gauge("forkseam.target.load", s, x -> x.gate().load());
         return s;
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/cfg/SettingKey.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/cfg/SettingKey.java
@@ -57,6 +57,8 @@
     OBJECT_STORE("platform", "object-store", SettingType.url(), null, Roles.BOTH),
     /** URL of the host list. */
     HOST_LIST("platform", "host-list", SettingType.url(), null, Roles.BOTH),
+    /** URL of the weight store; empty if downloads need no leave. */
+    WEIGHT_STORE("platform", "weight-store", SettingType.text(), "", Roles.BOTH),
     /** Time limit for one request to the platform. */
     PLATFORM_MILLIS("platform", "timeout-ms", SettingType.integer(10, 60_000), "1000", Roles.BOTH),
     /** Time between two reads of the host list. */
--- /dev/null
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/orders/package-info.java
@@ -0,0 +1,2 @@
+/** Brings engines to what deployments declare, one holder at a time. */
+package org.forkseam.daemon.orders;
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/router/CallerHeaders.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/CallerHeaders.java
@@ -12,6 +12,7 @@
     static final HttpHeader DEADLINE_MS = HttpHeaders.register("Forkseam-Deadline-Ms");
     static final HttpHeader PRIORITY = HttpHeaders.register("Forkseam-Priority");
     static final HttpHeader UNREPEATABLE = HttpHeaders.register("Forkseam-Unrepeatable");
+    static final HttpHeader ISSUED_AT = HttpHeaders.register("Forkseam-Issued-At-Ms");
     static final HttpHeader TICKET = HttpHeaders.register("Forkseam-Ticket");
     static final HttpHeader LABELS = HttpHeaders.register("Forkseam-Labels");
     static final HttpHeader OUTCOME = HttpHeaders.register("Forkseam-Outcome");
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/router/RequestFlow.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/RequestFlow.java
@@ -102,8 +102,7 @@
         mDeadlineMillis =
                 mArrivedMillis
                         + mRequest.deadlineMillis().orElse(mPool.spec().deadline().toMillis());
-        int routers = mContext.fleet().view().routerCount();
-        var wait = mContext.quotas().refuse(team, routers, mArrivedMillis);
+        var wait = mContext.quotas().refuse(team, mArrivedMillis);
         if (wait.isPresent()) {
             long after = RetryAfter.spread(wait.getAsLong(), mContext.random());
             finish(Refused.notRun(RefusalReason.OVER_QUOTA, after));
@@ -337,6 +336,9 @@
             return;
         }
         TargetView t = attempt.candidate().target();
+        if (end.getCacheLifetimeSeconds() > 0) {
+            t.onCacheLifetime(end.getCacheLifetimeSeconds() * 1000L);
+        }
         mContext.prefixes().onServed(mPlacement.sharedPrefix(), t.name(), now());
         mTicket.filter(k -> k.target().equals(t.name()))
                 .ifPresent(
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/router/RequestReader.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/RequestReader.java
@@ -7,8 +7,10 @@
 import io.activej.http.HttpHeader;
 import io.activej.http.HttpRequest;
 
+import org.forkseam.core.claim.ClaimRow;
 import org.forkseam.core.label.LabelSyntaxException;
 import org.forkseam.core.label.Labels;
+import org.forkseam.core.outcome.RefusalReason;
 import org.forkseam.core.util.Hashes;
 import org.forkseam.daemon.sidecar.HttpTargetClient;
 import org.forkseam.wire.proto.Header;
@@ -211,11 +213,25 @@
             mPriority = p.isPresent() ? OptionalInt.of((int) p.getAsLong()) : OptionalInt.empty();
             mDeadline = number(CallerHeaders.DEADLINE_MS, MAX_DEADLINE_MILLIS);
             mUnrepeatable = flag();
+            checkAge();
             if (mUnrepeatable && !mIdGiven) {
                 throw bad("Forkseam-Request-Id is missing", "an unrepeatable request needs one");
             }
         }
 
+        /** A claim is swept some time after this, so an older repeat could run again. */
+        private void checkAge() throws BadRequestException {
+            String v = header(CallerHeaders.ISSUED_AT);
+            if (!v.matches("[0-9]{0,15}")) {
+                throw bad("Forkseam-Issued-At-Ms = " + shorten(v), "milliseconds since 1970");
+            }
+            long age = v.isEmpty() ? 0 : System.currentTimeMillis() - Long.parseLong(v);
+            if (mUnrepeatable && age > ClaimRow.RETENTION_MILLIS) {
+                throw new BadRequestException(
+                        RefusalReason.TOO_OLD.status(), RefusalReason.TOO_OLD.text());
+            }
+        }
+
         String id() {
             return mId;
         }
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/router/Router.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/Router.java
@@ -113,7 +113,9 @@
                         mAttempts,
                         new RouterContext.Placing(
                                 placement(config.placement(), prefixes, random), prefixes),
-                        new ClaimLookup(parts.claims()),
+                        new RouterContext.Guards(
+                                new ClaimLookup(parts.claims()),
+                                new QuotaGate(mFleet, mSync, mLinks)),
                         mCounters);
         mTicker = Ticker.of(loop, () -> TICK_MILLIS, this::tick);
     }
@@ -154,6 +156,7 @@
         return mLoop.submit(
                 () -> {
                     mLinks.addSink(mAttempts);
+                    mLinks.addSink(mContext.quotas());
                     mSync.setDecisions(mContext.decisions());
                     mServer =
                             HttpServer.builder(mLoop, this::serve)
@@ -201,6 +204,7 @@
 
     private void tick() {
         mAttempts.cutSilent();
+        mContext.quotas().tick(mContext.clock().nowMillis());
         List.copyOf(mContext.flows()).stream()
                 .filter(f -> mSockets.isGone(f.socket()))
                 .forEach(RequestFlow::onHungUp);
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/router/RouterContext.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/RouterContext.java
@@ -28,7 +28,7 @@
     private final RetryBudget mBudget =
             RetryBudget.of(RetryBudget.DEFAULT_SHARE, RetryBudget.DEFAULT_RESERVE);
     private final DecisionLog mDecisions = DecisionLog.of(DecisionLog.DEFAULT_SIZE);
-    private final QuotaGate mQuotas = new QuotaGate();
+    private final QuotaGate mQuotas;
     private long mNextAttempt;
     private final Set<RequestFlow> mFlows = new LinkedHashSet<>();
 
@@ -38,6 +38,9 @@
     /** Holds the clock and the random numbers. */
     record Chance(Clock clock, RandomGenerator random) {}
 
+    /** Holds what limits and settles requests. */
+    record Guards(ClaimLookup claims, QuotaGate quotas) {}
+
     /** Holds how requests are placed. */
     record Placing(Placement placement, PrefixDirectory prefixes) {}
 
@@ -47,7 +50,7 @@
             Fleet fleet,
             Attempts attempts,
             Placing placing,
-            ClaimLookup claims,
+            Guards guards,
             RouterCounters counters) {
         mHost = identity.host() + "." + Long.toString(identity.incarnation(), Character.MAX_RADIX);
         mTicketKey = identity.ticketKey();
@@ -58,7 +61,8 @@
         mPlacement = placing.placement();
         mPrefixes = placing.prefixes();
         mDigests = DigestCarrier.of(fleet, mClock, mRandom);
-        mClaims = claims;
+        mClaims = guards.claims();
+        mQuotas = guards.quotas();
         mCounters = counters;
     }
 
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/share/ConfigStore.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/share/ConfigStore.java
@@ -102,7 +102,7 @@
                                             .map(ConfigStore::toChange)
                                             .toList());
         }
-        return mTable.scan(CHANGE, Integer.MAX_VALUE)
+        return mTable.scan(CHANGE, "", Integer.MAX_VALUE)
                 .thenApply(
                         rows ->
                                 rows.stream()
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/ClaimStore.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/ClaimStore.java
@@ -28,7 +28,9 @@
  * @since 0.1
  */
 public final class ClaimStore {
-    private static final String PREFIX = "claim/";
+    /** What the keys of all claims start with. */
+    public static final String PREFIX = "claim/";
+
     private static final long GROUP_MILLIS = 2;
     private static final int MAX_GROUP = 64;
     private static final ObjectMapper JSON =
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Claims.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Claims.java
@@ -60,13 +60,24 @@
     public CompletableFuture<Result> claim(String key, String fingerprint) {
         String nonce = UUID.randomUUID().toString();
         ClaimRow row =
-                new ClaimRow(ClaimRow.State.CLAIMED, mTarget, mIncarnation, nonce, fingerprint, "");
+                new ClaimRow(
+                        ClaimRow.State.CLAIMED,
+                        mTarget,
+                        mIncarnation,
+                        nonce,
+                        fingerprint,
+                        "",
+                        now());
         mOwn.put(nonce, OwnState.ACTIVE);
         Try t = new Try(key, ClaimProtocol.of(row, n -> mOwn.getOrDefault(n, OwnState.UNKNOWN)));
         t.perform(t.mProtocol.start());
         return t.mDone.whenComplete((r, e) -> settle(nonce, r));
     }
 
+    private static long now() {
+        return System.currentTimeMillis();
+    }
+
     private void settle(String nonce, Result result) {
         if (result == null || result.step() != Step.RUN) {
             mOwn.put(nonce, OwnState.ABANDONED);
@@ -83,7 +94,8 @@
                         mIncarnation,
                         claimed.nonce(),
                         fingerprint,
-                        "");
+                        "",
+                        now());
         return mStore.replace(key, row, claimed.revision()).thenApply(r -> null);
     }
 
@@ -97,7 +109,8 @@
                         mIncarnation,
                         claimed.nonce(),
                         fingerprint,
-                        answer);
+                        answer,
+                        now());
         return mStore.replace(key, row, claimed.revision());
     }
 
--- /dev/null
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/QuotaHome.java
@@ -0,0 +1,52 @@
+package org.forkseam.daemon.sidecar;
+
+import org.forkseam.core.admit.QuotaShares;
+import org.forkseam.core.util.Clock;
+import org.forkseam.daemon.net.PacketSink;
+import org.forkseam.daemon.share.Fleet;
+import org.forkseam.daemon.share.FleetSync;
+import org.forkseam.wire.Link;
+import org.forkseam.wire.proto.Packet;
+import org.forkseam.wire.proto.QuotaGrant;
+import org.forkseam.wire.proto.QuotaReport;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Divides the quotas of the teams that are hot and hash to this target. Used on the event loop. */
+final class QuotaHome implements PacketSink {
+    private final Fleet mFleet;
+    private final FleetSync mSync;
+    private final Clock mClock;
+    private final Map<String, QuotaShares> mTeams = new HashMap<>();
+
+    QuotaHome(Fleet fleet, FleetSync sync, Clock clock) {
+        mFleet = fleet;
+        mSync = sync;
+        mClock = clock;
+    }
+
+    @Override
+    public void onPacket(Link link, Packet p) {
+        if (!p.hasQuotaReport()) {
+            return;
+        }
+        QuotaReport r = p.getQuotaReport();
+        double quota = mFleet.config().team(r.getTeam()).requestsPerSecond();
+        double rate =
+                mTeams.computeIfAbsent(r.getTeam(), k -> new QuotaShares())
+                        .report(
+                                link.peer().getHost(),
+                                r.getDemand(),
+                                quota,
+                                mFleet.view().routerCount(),
+                                mClock.nowMillis());
+        QuotaGrant g = QuotaGrant.newBuilder().setTeam(r.getTeam()).setRate(rate).build();
+        link.send(mSync.packet().setQuotaGrant(g).build());
+    }
+
+    @Override
+    public void onClosed(Link link) {
+        // Reports run out by themselves.
+    }
+}
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Sidecar.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Sidecar.java
@@ -67,11 +67,13 @@
     private final Links mLinks;
     private final TargetClient mTarget;
     private final Claims mClaims;
+    private final CacheWatch mCache;
     private final TargetGate<Exchange> mGate;
     private final AnswerKeeper mKeeper;
     private final DecisionLog mDecisions;
     private final DigestCarrier mDigests;
     private final Map<Link, Map<Long, Attached>> mStreams = new HashMap<>();
+    private final Viewer.Voice mVoice;
     private final Ticker mTicker;
     private final SidecarCounters mCounters;
     private CompletableFuture<Void> mDrained;
@@ -93,6 +95,7 @@
             Links links,
             TargetClient target,
             Claims claims,
+            CacheWatch cache,
             SidecarCounters counters) {}
 
     /** Joins an exchange with the viewer that follows it on one stream. */
@@ -108,11 +111,13 @@
         mLinks = parts.links();
         mTarget = parts.target();
         mClaims = parts.claims();
+        mCache = parts.cache();
         mCounters = parts.counters();
         mGate = TargetGate.of(config.target(), config.capacity(), clock, random, this);
         mKeeper = AnswerKeeper.of(config.keptBytes());
         mDecisions = DecisionLog.of(DecisionLog.DEFAULT_SIZE);
         mDigests = DigestCarrier.of(mFleet, clock, random);
+        mVoice = new Viewer.Voice(mSync::packet, this::ownDigest, mCache::lifetimeMillis);
         mTicker = Ticker.of(loop, () -> TICK_MILLIS, this::tick);
     }
 
@@ -140,6 +145,7 @@
         mLoop.execute(
                 () -> {
                     mLinks.addSink(this);
+                    mLinks.addSink(new QuotaHome(mFleet, mSync, mClock));
                     mSync.setDecisions(mDecisions);
                     mSync.setOwnDigest(() -> Optional.of(mGate.digest()));
                     mFleet.addListener(this::onFleetChanged);
@@ -147,6 +153,7 @@
                     started.complete(null);
                 });
         mTicker.start();
+        mCache.start();
         return started;
     }
 
@@ -160,7 +167,7 @@
                     setLeaving(true);
                     checkDrained();
                 });
-        return drained.whenComplete((v, e) -> mTicker.stop());
+        return drained.whenComplete((v, e) -> stopTicking());
     }
 
     /** Refuses from this instant, and tells every daemon that has a link here. */
@@ -177,6 +184,11 @@
         mLinks.open().forEach(this::sendNotice);
     }
 
+    private void stopTicking() {
+        mTicker.stop();
+        mCache.stop();
+    }
+
     private void checkDrained() {
         boolean sending = mStreams.values().stream().anyMatch(m -> !m.isEmpty());
         if (mDrained != null && mGate.load() == 0 && !sending) {
@@ -317,7 +329,7 @@
     }
 
     private Viewer viewer(Link link, long stream, long from, long window) {
-        return new Viewer(link, stream, from, window, mSync::packet, this::ownDigest);
+        return new Viewer(link, stream, from, window, mVoice);
     }
 
     private void attach(Exchange e, Viewer viewer) {
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Viewer.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Viewer.java
@@ -14,6 +14,7 @@
 import org.forkseam.wire.proto.Refusal;
 
 import java.util.List;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -23,8 +24,7 @@
 final class Viewer {
     private final Link mLink;
     private final long mStream;
-    private final Supplier<Packet.Builder> mPackets;
-    private final Supplier<List<LoadDigest>> mDigests;
+    private final Voice mVoice;
     private long mNext;
     private long mSentBytes;
     private long mAllowedBytes;
@@ -32,20 +32,25 @@
     private boolean mHeadSent;
     private boolean mDone;
 
-    Viewer(
-            Link link,
-            long stream,
-            long fromSequence,
-            long window,
+    /**
+     * Holds what a sidecar says of itself with every answer.
+     *
+     * @param packets builders that name the version in force
+     * @param digests the load, its own and a few others'
+     * @param cacheLifetimeMillis how long its engine keeps a prefix, 0 if not known
+     */
+    record Voice(
             Supplier<Packet.Builder> packets,
-            Supplier<List<LoadDigest>> digests) {
+            Supplier<List<LoadDigest>> digests,
+            LongSupplier cacheLifetimeMillis) {}
+
+    Viewer(Link link, long stream, long fromSequence, long window, Voice voice) {
         mLink = link;
         mStream = stream;
         mNext = fromSequence;
         mAcked = fromSequence;
         mAllowedBytes = window;
-        mPackets = packets;
-        mDigests = digests;
+        mVoice = voice;
     }
 
     Link link() {
@@ -111,11 +116,11 @@
                         .addAllHeaders(e.headers())
                         .setReplayed(e.isReplayed())
                         .setQueuedMillis((int) (e.startedMillis() - e.arrivedMillis()))
-                        .addAllDigests(mDigests.get());
+                        .addAllDigests(mVoice.digests().get());
         if (e.resumedFrom() >= 0) {
             h.setResumedFrom(e.resumedFrom());
         }
-        mLink.send(mPackets.get().setHead(h).build());
+        mLink.send(mVoice.packets().get().setHead(h).build());
     }
 
     private void sendFrame(byte[] data) {
@@ -125,7 +130,7 @@
                         .setSequence(mNext)
                         .setData(ByteString.copyFrom(data))
                         .build();
-        mLink.send(mPackets.get().setFrame(f).build());
+        mLink.send(mVoice.packets().get().setFrame(f).build());
         mNext++;
         mSentBytes += data.length;
     }
@@ -139,9 +144,11 @@
                         .setChecksum(e.buffer().checksum())
                         .setPromptTokens(e.usage().promptTokens())
                         .setCachedTokens(e.usage().cachedTokens())
-                        .addAllDigests(mDigests.get());
+                        .setCacheLifetimeSeconds(
+                                (int) (mVoice.cacheLifetimeMillis().getAsLong() / 1000))
+                        .addAllDigests(mVoice.digests().get());
         e.refused().ifPresent(r -> end.setError(r.reason().name() + ": " + r.detail()));
-        mLink.send(mPackets.get().setEnd(end).build());
+        mLink.send(mVoice.packets().get().setEnd(end).build());
     }
 
     /** Ends the stream without an answer. */
@@ -155,7 +162,7 @@
                         .setRetryAfterMillis(r.retryAfterMillis())
                         .setOwner(r.owner())
                         .setDetail(r.detail())
-                        .addAllDigests(mDigests.get());
-        mLink.send(mPackets.get().setRefusal(b).build());
+                        .addAllDigests(mVoice.digests().get());
+        mLink.send(mVoice.packets().get().setRefusal(b).build());
     }
 }
--- a/forkseam-platform/src/main/java/org/forkseam/platform/TableService.java
+++ b/forkseam-platform/src/main/java/org/forkseam/platform/TableService.java
@@ -16,8 +16,14 @@
     /** Reads a row. */
     CompletableFuture<Optional<Row>> get(String key);
 
-    /** Reads the rows whose keys start with the prefix, sorted by key, at most {@code limit}. */
-    CompletableFuture<List<Row>> scan(String prefix, int limit);
+    /**
+     * Reads the rows whose keys start with the prefix and come after {@code after}, sorted by key.
+     *
+     * @param prefix what the keys start with
+     * @param after the last key of the scan before, or empty
+     * @param limit rows at most
+     */
+    CompletableFuture<List<Row>> scan(String prefix, String after, int limit);
 
     /** Writes all or nothing. */
     CompletableFuture<TxnResult> transact(List<Write> writes);
--- a/forkseam-platform/src/main/java/org/forkseam/platform/http/HttpTableService.java
+++ b/forkseam-platform/src/main/java/org/forkseam/platform/http/HttpTableService.java
@@ -50,11 +50,12 @@
     }
 
     @Override
-    public CompletableFuture<List<Row>> scan(String prefix, int limit) {
+    public CompletableFuture<List<Row>> scan(String prefix, String after, int limit) {
+        String from = after.isEmpty() ? prefix : after + '\0';
         ObjectNode q =
                 Http.JSON
                         .createObjectNode()
-                        .put("key", encode(prefix))
+                        .put("key", encode(from))
                         .put("range_end", encode(endOf(prefix)))
                         .put("limit", Integer.toString(limit));
         return range(q);
--- a/forkseam-standin/src/main/java/org/forkseam/standin/EngineStandin.java
+++ b/forkseam-standin/src/main/java/org/forkseam/standin/EngineStandin.java
@@ -2,12 +2,14 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 import io.activej.bytebuf.ByteBuf;
 import io.activej.csp.supplier.ChannelSuppliers;
 import io.activej.eventloop.Eventloop;
 import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
@@ -22,6 +24,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -48,11 +51,14 @@
                     Comparator.<Generation>comparingInt(g -> g.mPriority)
                             .thenComparingLong(g -> g.mArrival));
     private final Map<String, AtomicInteger> mRuns = new ConcurrentHashMap<>();
-    private final List<String> mOrders = new ArrayList<>();
+    private final List<String> mOrders = new CopyOnWriteArrayList<>();
     private int mRunning;
     private long mArrivals;
     private long mFence;
     private int mShownLoad;
+    private boolean mChanging;
+    private JsonNode mState = JSON.createObjectNode();
+    private volatile long mOrderMillis = 100;
     private final AtomicInteger mCancelled = new AtomicInteger();
     private volatile int mPeak;
     private final AtomicInteger mLoad = new AtomicInteger();
@@ -113,6 +119,16 @@
         mFrozen = frozen;
     }
 
+    /** Sets how long an order takes to take effect. */
+    public void setOrderMillis(long millis) {
+        mOrderMillis = millis;
+    }
+
+    /** Returns the orders taken, the earliest first. */
+    public List<String> orders() {
+        return List.copyOf(mOrders);
+    }
+
     /** Makes answers break off after so many events; -1 for never. */
     public void setBreakAfter(int events) {
         mBreakAfter = events;
@@ -174,6 +190,15 @@
         if (path.startsWith(RESPONSES)) {
             return response(http, path.substring(RESPONSES.length()));
         }
+        if (path.equals("/kv/export")) {
+            return http.loadBody().then(b -> export(JSON.readTree(b.getArray())));
+        }
+        if (path.equals("/kv/import")) {
+            return http.loadBody().then(b -> take(JSON.readTree(b.getArray())));
+        }
+        if (path.equals("/v1/orders") && http.getMethod() == HttpMethod.GET) {
+            return state();
+        }
         if (path.equals("/v1/orders")) {
             return http.loadBody().then(b -> order(JSON.readTree(b.getArray())));
         }
@@ -214,6 +239,7 @@
         return g.follow(Integer.parseInt(http.getQueryParameter("starting_after")));
     }
 
+    /** Takes an order, which takes effect after a while, and tells what the engine runs. */
     private Promise<HttpResponse> order(JsonNode order) {
         long fence = order.path("fence").asLong();
         if (mChecksFences && fence < mFence) {
@@ -221,14 +247,46 @@
         }
         mFence = Math.max(mFence, fence);
         mOrders.add(order.toString());
-        return json(JSON.createObjectNode().put("done", true));
+        mChanging = true;
+        mServer.loop()
+                .delayBackground(
+                        mOrderMillis,
+                        () -> {
+                            mState = order;
+                            mChanging = false;
+                        });
+        return state();
+    }
+
+    private Promise<HttpResponse> state() {
+        ObjectNode n = JSON.createObjectNode().put("changing", mChanging);
+        for (String part : List.of("model", "adapter", "version", "role")) {
+            n.put(part, mState.path(part).asText());
+        }
+        return json(n);
+    }
+
+    /** Gives out the blocks held of a prompt, for another engine to take in. */
+    private Promise<HttpResponse> export(JsonNode body) {
+        List<Long> blocks = PrefixCache.blocks(body.path("prompt").asText());
+        ObjectNode out = JSON.createObjectNode();
+        ArrayNode list = out.putArray("blocks");
+        blocks.subList(0, mCache.match(blocks)).forEach(list::add);
+        return json(out);
+    }
+
+    private Promise<HttpResponse> take(JsonNode body) {
+        List<Long> blocks = new ArrayList<>();
+        body.path("blocks").forEach(b -> blocks.add(b.asLong()));
+        mCache.add(blocks);
+        return json(JSON.createObjectNode().put("blocks", blocks.size()));
     }
 
     /** Shows cache events late, and leaves every tenth out. */
     private Promise<HttpResponse> events(String after) {
         int from = after == null ? 0 : Integer.parseInt(after);
         ObjectNode out = JSON.createObjectNode();
-        var list = out.putArray("events");
+        ArrayNode list = out.putArray("events");
         int shown = Math.max(0, mCache.events().size() - 8);
         for (int i = from; i < shown; i++) {
             if (i % 10 != 9) {
--- a/forkseam-standin/src/main/java/org/forkseam/standin/PrefixCache.java
+++ b/forkseam-standin/src/main/java/org/forkseam/standin/PrefixCache.java
@@ -24,7 +24,11 @@
 
                     @Override
                     protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
-                        return size() > maxBlocks;
+                        boolean out = size() > maxBlocks;
+                        if (out) {
+                            mEvents.add("removed " + eldest.getKey());
+                        }
+                        return out;
                     }
                 };
     }
