--- a/forkseam-bench/src/main/java/org/forkseam/bench/Bench.java
+++ b/forkseam-bench/src/main/java/org/forkseam/bench/Bench.java
@@ -47,6 +47,12 @@
     @Option(name = "--overhead", usage = "measure what the path adds to a direct call instead")
     private boolean mOverhead;
 
+    @Option(name = "--spread", metaVar = "N", usage = "measure a change over N daemons instead")
+    private int mSpread;
+
+    @Option(name = "--frames", usage = "measure token frames through a router instead")
+    private boolean mFrames;
+
     @Option(name = "--help", help = true, usage = "show this text")
     private boolean mHelp;
 
@@ -67,6 +73,10 @@
             parser.printUsage(System.out);
         } else if (b.mOverhead) {
             Overhead.run(b.mRate, b.mSeconds);
+        } else if (b.mSpread > 1) {
+            Spread.run(b.mSpread);
+        } else if (b.mFrames) {
+            Frames.run();
         } else {
             b.run();
         }
--- a/forkseam-bench/src/main/java/org/forkseam/bench/LocalFleet.java
+++ b/forkseam-bench/src/main/java/org/forkseam/bench/LocalFleet.java
@@ -81,6 +81,17 @@
         return s;
     }
 
+    /** Adds so many sidecars in front of one service, and lists them all at once. */
+    public void addSidecars(int count, String url) throws InterruptedException, ExecutionException {
+        List<Runnable> listings = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            String target = "t%04d".formatted(i);
+            Map<String, String> labels = Map.of("service", "svc");
+            listings.add(startSidecar(target, "d" + i % 9, "service", url, 8, labels));
+        }
+        listings.forEach(Runnable::run);
+    }
+
     private void addSidecar(
             String target,
             String domain,
@@ -89,6 +100,18 @@
             int capacity,
             Map<String, String> labels)
             throws InterruptedException, ExecutionException {
+        startSidecar(target, domain, kind, url, capacity, labels).run();
+    }
+
+    /** Starts a sidecar and returns what puts it in the host list. */
+    private Runnable startSidecar(
+            String target,
+            String domain,
+            String kind,
+            String url,
+            int capacity,
+            Map<String, String> labels)
+            throws InterruptedException, ExecutionException {
         String host = "host-" + target;
         Map<String, Map<String, String>> s = common(host, domain, "sidecar");
         s.put(
@@ -110,7 +133,7 @@
         mLabels.put(target, Labels.of(all));
         Daemon d = startDaemon(host, s);
         mSidecars.put(target, d);
-        list(host, domain, d.wireAddress(), Labels.of(all));
+        return () -> list(host, domain, d.wireAddress(), Labels.of(all));
     }
 
     private Map<String, Map<String, String>> common(String host, String domain, String role) {
