Close links that nobody uses

Ruled out: fixed peers for each daemon, since the loss of a failure domain would cut the fleet in parts.

--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/net/Links.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/net/Links.java
@@ -35,6 +35,11 @@
     /** Name of the service. */
     public static final String NAME = "links";
 
+    /** A link that carries a request is never silent for so long, since its sidecar speaks. */
+    private static final long IDLE_MILLIS = 10_000;
+
+    private static final long TICK_MILLIS = 1_000;
+
     private final Eventloop mLoop;
     private final Wire mWire;
     private final InetSocketAddress mListen;
@@ -63,6 +68,7 @@
     @Override
     public CompletableFuture<Void> start() {
         mWire.start(Optional.of(mListen));
+        mLoop.execute(this::closeIdle);
         return CompletableFuture.completedFuture(null);
     }
 
@@ -78,6 +84,18 @@
         return Map.of("open", open, "listen", mWire.address().toString());
     }
 
+    /** Closes links that nobody uses, or news to random daemons would in time open one to each. */
+    private void closeIdle() {
+        open().stream().filter(Links::isIdle).forEach(Link::close);
+        mLoop.delayBackground(TICK_MILLIS, this::closeIdle);
+    }
+
+    private static boolean isIdle(Link link) {
+        return link.isOutgoing()
+                && link.silentMillis() > IDLE_MILLIS
+                && link.unsentMillis() > IDLE_MILLIS;
+    }
+
     // ---------------------------------------------------------------- public API
 
     /** Adds a receiver of packets. */
