--- a/forkseam-bench/src/test/java/org/forkseam/bench/ServingTest.java
+++ b/forkseam-bench/src/test/java/org/forkseam/bench/ServingTest.java
@@ -128,6 +128,14 @@
         assertWhole(chat(mRouter1, "a", true, Map.of()), "a");
     }
 
+    @Test
+    void plainServiceSeesOnlyWhatCallersSent() throws Exception {
+        Waiting.until(
+                "engines are asked for their cache events",
+                () -> mFleet.engines().values().stream().allMatch(e -> e.requests() > 1));
+        mFleet.services().values().forEach(s -> assertThat(s.faults().requests()).isEqualTo(0));
+    }
+
     @Test
     void oversizedBodyIsRefused() throws Exception {
         Caller.Answer a = call(mRouter1, "/services/gauge-api/x", "x".repeat(5 << 20), Map.of());
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/Daemon.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/Daemon.java
@@ -208,9 +208,9 @@
                         mLinks,
                         HttpTargetClient.of(mLoop, mSettings.text(SettingKey.TARGET_URL)),
                         Claims.of(ClaimStore.of(mLoop, mTable), target, mIncarnation),
-                        CacheWatch.of(mLoop, mHttp, mSettings.text(SettingKey.TARGET_URL), mClock),
+                        cacheWatch(),
                         SidecarCounters.of(mRegistry));
-        if (mSettings.text(SettingKey.TARGET_KIND).equals("engine")) {
+        if (isEngine()) {
             String url = mSettings.text(SettingKey.TARGET_URL);
             mLinks.addSink(OrderDesk.of(mHttp, url, mTable, mSync::packet));
         }
@@ -219,6 +219,19 @@
         return s;
     }
 
+    private boolean isEngine() {
+        return mSettings.text(SettingKey.TARGET_KIND).equals("engine");
+    }
+
+    /** Plain services have no cache and must see only what callers sent. */
+    private Optional<CacheWatch> cacheWatch() {
+        if (!isEngine()) {
+            return Optional.empty();
+        }
+        String url = mSettings.text(SettingKey.TARGET_URL);
+        return Optional.of(CacheWatch.of(mLoop, mHttp, url, mClock));
+    }
+
     private AdminApi admin(DecisionLog decisions) {
         AdminApi.Config config =
                 new AdminApi.Config(
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Sidecar.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Sidecar.java
@@ -67,7 +67,7 @@
     private final Links mLinks;
     private final TargetClient mTarget;
     private final Claims mClaims;
-    private final CacheWatch mCache;
+    private final Optional<CacheWatch> mCache;
     private final TargetGate<Exchange> mGate;
     private final AnswerKeeper mKeeper;
     private final DecisionLog mDecisions;
@@ -95,7 +95,7 @@
             Links links,
             TargetClient target,
             Claims claims,
-            CacheWatch cache,
+            Optional<CacheWatch> cache,
             SidecarCounters counters) {}
 
     /** Joins an exchange with the viewer that follows it on one stream. */
@@ -117,7 +117,7 @@
         mKeeper = AnswerKeeper.of(config.keptBytes());
         mDecisions = DecisionLog.of(DecisionLog.DEFAULT_SIZE);
         mDigests = DigestCarrier.of(mFleet, clock, random);
-        mVoice = new Viewer.Voice(mSync::packet, this::ownDigest, mCache::lifetimeMillis);
+        mVoice = new Viewer.Voice(mSync::packet, this::ownDigest, this::cacheLifetime);
         mTicker = Ticker.of(loop, () -> TICK_MILLIS, this::tick);
     }
 
@@ -153,7 +153,7 @@
                     started.complete(null);
                 });
         mTicker.start();
-        mCache.start();
+        mCache.ifPresent(CacheWatch::start);
         return started;
     }
 
@@ -184,9 +184,13 @@
         mLinks.open().forEach(this::sendNotice);
     }
 
+    private long cacheLifetime() {
+        return mCache.map(CacheWatch::lifetimeMillis).orElse(0L);
+    }
+
     private void stopTicking() {
         mTicker.stop();
-        mCache.stop();
+        mCache.ifPresent(CacheWatch::stop);
     }
 
     private void checkDrained() {
--- a/forkseam-standin/src/main/java/org/forkseam/standin/EngineStandin.java
+++ b/forkseam-standin/src/main/java/org/forkseam/standin/EngineStandin.java
@@ -104,6 +104,11 @@
         return mServer.url();
     }
 
+    /** Returns requests counted, of whatever kind. */
+    public int requests() {
+        return mFaults.requests();
+    }
+
     /** Crashes the engine: every connection is closed at once. */
     public void kill() throws InterruptedException, ExecutionException {
         mServer.kill();
