Read the tree as a newcomer; frozen sidecars, failing engines, recovery

Found on the way, with tests: an engine's 5xx to a chat went to the caller though another engine could answer; the host list was sent whole each second (some 300 KB at 1200 hosts) and is now asked for by its ETag; a kept answer whose beginning had gone was offered to a repeat that could simply run. New tests: a frozen sidecar (SIGSTOP) is cut off and another target serves; all routers lost at once; a failure domain lost at once; a quota over both routers.

--- a/forkseam-bench/src/main/java/org/forkseam/bench/Experiment.java
+++ b/forkseam-bench/src/main/java/org/forkseam/bench/Experiment.java
@@ -103,11 +103,7 @@
                 "targets seen",
                 () -> operator.run("get", "targets").out().lines().count() == targets + 1);
         operator.apply(config(ertis));
-        for (Daemon d : mFleet.daemons()) {
-            Waiting.until(
-                    "configuration in force",
-                    () -> d.registry().get("forkseam.config.version").gauge().value() >= 1);
-        }
+        mFleet.waitForConfig(1);
         drive();
         return figures();
     }
--- a/forkseam-bench/src/main/java/org/forkseam/bench/Frames.java
+++ b/forkseam-bench/src/main/java/org/forkseam/bench/Frames.java
@@ -16,6 +16,7 @@
 
 /** Measures how many token frames a router passes for a second of its own processor time. */
 final class Frames {
+    private static final EngineStandin.Speed SPEED = new EngineStandin.Speed(256, 1e6, 1, 1 << 22);
     private static final int STREAMS = 40;
     private static final int TOKENS = 4_000;
     private static final int ROUNDS = 4;
@@ -23,17 +24,8 @@
     private Frames() {}
 
     static void run() throws Exception {
-        try (LocalFleet fleet = LocalFleet.start(1)) {
-            Daemon router = fleet.addRouter("entry-1", "a", "std");
-            fleet.addEngine("lm-1", "a", "lm", new EngineStandin.Speed(256, 1e6, 1, 1 << 22));
-            Operator o = Operator.of(router);
-            Waiting.until("seen", () -> o.run("get", "targets").out().lines().count() == 2);
-            o.apply("[pool p]\n[intent i]\npool = p\n");
-            for (Daemon d : fleet.daemons()) {
-                Waiting.until(
-                        "in force",
-                        () -> d.registry().get("forkseam.config.version").gauge().value() >= 1);
-            }
+        try (LocalFleet fleet = LocalFleet.startSingle(SPEED)) {
+            Daemon router = fleet.router("entry-1");
             for (int i = 0; i < ROUNDS; i++) {
                 round(router, i);
             }
--- a/forkseam-bench/src/main/java/org/forkseam/bench/LocalFleet.java
+++ b/forkseam-bench/src/main/java/org/forkseam/bench/LocalFleet.java
@@ -49,6 +49,28 @@
         return new LocalFleet(PlatformStandin.start(), seed);
     }
 
+    /**
+     * Starts a router and one engine with a configuration in force, for measurements of the path.
+     */
+    public static LocalFleet startSingle(EngineStandin.Speed speed) throws Exception {
+        LocalFleet fleet = start(1);
+        Operator o = Operator.of(fleet.addRouter("entry-1", "a", "std"));
+        fleet.addEngine("lm-1", "a", "lm", speed);
+        Waiting.until("seen", () -> o.run("get", "targets").out().lines().count() == 2);
+        o.apply("[pool p]\n[intent i]\npool = p\n");
+        fleet.waitForConfig(1);
+        return fleet;
+    }
+
+    /** Waits until every daemon has this version or a later one in force. */
+    public void waitForConfig(long version) throws Exception {
+        for (Daemon d : daemons()) {
+            Waiting.until(
+                    "version " + version + " at " + d.wireAddress(),
+                    () -> d.registry().get("forkseam.config.version").gauge().value() >= version);
+        }
+    }
+
     // ---------------------------------------------------------------- building
 
     /** Adds a router. */
--- a/forkseam-bench/src/main/java/org/forkseam/bench/Overhead.java
+++ b/forkseam-bench/src/main/java/org/forkseam/bench/Overhead.java
@@ -22,17 +22,9 @@
     private Overhead() {}
 
     static void run(double rate, int seconds) throws Exception {
-        try (LocalFleet fleet = LocalFleet.start(1)) {
-            Daemon router = fleet.addRouter("entry-1", "a", "std");
-            EngineStandin e = fleet.addEngine("lm-1", "a", "lm", SPEED);
-            Operator o = Operator.of(router);
-            Waiting.until("seen", () -> o.run("get", "targets").out().lines().count() == 2);
-            o.apply("[pool p]\n[intent i]\npool = p\n");
-            for (Daemon d : fleet.daemons()) {
-                Waiting.until(
-                        "in force",
-                        () -> d.registry().get("forkseam.config.version").gauge().value() >= 1);
-            }
+        try (LocalFleet fleet = LocalFleet.startSingle(SPEED)) {
+            Daemon router = fleet.router("entry-1");
+            EngineStandin e = fleet.engines().get("lm-1");
             URI direct = URI.create(e.url());
             InetSocketAddress engine = new InetSocketAddress(direct.getHost(), direct.getPort());
             measure(router.callersAddress(), engine, rate, WARM_UP_SECONDS, false);
--- a/forkseam-bench/src/main/java/org/forkseam/bench/Spread.java
+++ b/forkseam-bench/src/main/java/org/forkseam/bench/Spread.java
@@ -26,7 +26,7 @@
                     "all are listed",
                     () -> o.run("get", "targets").out().lines().count() == daemons);
             o.apply("[pool p]\n[intent i]\npool = p\n");
-            waitFor(fleet, 1);
+            fleet.waitForConfig(1);
             cost(fleet, daemons);
             changes(fleet, o, false);
             changes(fleet, o, true);
@@ -34,12 +34,6 @@
         }
     }
 
-    private static void waitFor(LocalFleet fleet, long version) throws Exception {
-        for (Daemon d : fleet.daemons()) {
-            Waiting.until("version " + version, () -> version(d) >= version);
-        }
-    }
-
     private static double version(Daemon d) {
         return d.registry().get("forkseam.config.version").gauge().value();
     }
--- a/forkseam-bench/src/test/java/org/forkseam/bench/FailureTest.java
+++ b/forkseam-bench/src/test/java/org/forkseam/bench/FailureTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import org.forkseam.daemon.Daemon;
 import org.forkseam.standin.EngineStandin;
 import org.junit.jupiter.api.Test;
 
@@ -84,6 +85,34 @@
         assertThat(a.header("target")).isNotEqualTo(home);
     }
 
+    @Test
+    void engineThatAnswersWithAnErrorIsLeftForAnother() throws Exception {
+        String home = chat(mRouter1, "a", false, Map.of("Chat-Id", "c")).header("target");
+        mFleet.engines().get(home).faults().setDown(true);
+        Caller.Answer a = chat(mRouter1, "a", true, Map.of("Chat-Id", "c"));
+        assertWhole(a, "a");
+        assertThat(a.header("target")).isNotEqualTo(home);
+    }
+
+    @Test
+    void allRoutersLostAtOnceAndOneBackServesAgain() throws Exception {
+        mFleet.killRouter("entry-1");
+        mFleet.killRouter("entry-2");
+        Daemon fresh = mFleet.addRouter("entry-3", "hall-a", "std");
+        Waiting.until("it serves", () -> chat(fresh, "a", true, Map.of()).whole());
+        assertWhole(chat(fresh, "b", true, Map.of()), "b");
+    }
+
+    @Test
+    void failureDomainLostAtOnceLeavesTheOthersServing() throws Exception {
+        mFleet.killTarget("lm-01");
+        mFleet.killTarget("gauge-01");
+        for (int i = 0; i < 10; i++) {
+            assertWhole(chat(i % 2 == 0 ? mRouter1 : mRouter2, "g" + i, false, Map.of()), "g" + i);
+        }
+        assertThat(call(mRouter1, "/services/gauge-api/x", "r", Map.of()).status()).isEqualTo(200);
+    }
+
     @Test
     void callerOfAKilledRouterComesBackThroughAnother() throws Exception {
         CompletableFuture<Caller.Answer> first =
--- a/forkseam-bench/src/test/java/org/forkseam/bench/FleetTestBase.java
+++ b/forkseam-bench/src/test/java/org/forkseam/bench/FleetTestBase.java
@@ -82,11 +82,7 @@
 
     /** Waits until every daemon has this version or a later one in force. */
     void waitForConfig(long version) throws Exception {
-        for (Daemon d : mFleet.daemons()) {
-            Waiting.until(
-                    "version " + version + " at " + d.wireAddress(),
-                    () -> d.registry().get("forkseam.config.version").gauge().value() >= version);
-        }
+        mFleet.waitForConfig(version);
     }
 
     static String prompt(String who) {
--- a/forkseam-bench/src/test/java/org/forkseam/bench/ProcessTest.java
+++ b/forkseam-bench/src/test/java/org/forkseam/bench/ProcessTest.java
@@ -182,6 +182,41 @@
         assertThat(stopped.waitFor(30, TimeUnit.SECONDS)).isTrue();
     }
 
+    @Test
+    void frozenSidecarIsCutOffAndAnotherTargetServes() throws Exception {
+        Waiting.until(
+                "all daemons answer", () -> operator("get", "targets").out().lines().count() == 4);
+        Path config = Files.writeString(mDir.resolve("f"), "[pool lm]\n[intent all]\npool = lm\n");
+        assertThat(operator("apply", "-f", config.toString()).code()).isEqualTo(0);
+        InetSocketAddress r = mCallers.get("entry-1");
+        Waiting.until(
+                "ready", () -> mCaller.send(r, "GET", "/readyz", "", Map.of()).status() == 200);
+        String body = FleetTestBase.body("a", 400, false);
+        CompletableFuture<Caller.Answer> answer =
+                CompletableFuture.supplyAsync(
+                        () -> {
+                            try {
+                                return mCaller.chat(r, body, Map.of());
+                            } catch (InterruptedException e) {
+                                throw new IllegalStateException(e);
+                            }
+                        });
+        Waiting.until("it runs", () -> mEngines.stream().anyMatch(e -> e.load() > 0));
+        int busy = mEngines.get(0).load() > 0 ? 1 : mEngines.get(1).load() > 0 ? 2 : 3;
+        Process frozen = mProcesses.get("host-lm-0" + busy);
+        signal("STOP", frozen);
+        Caller.Answer a = answer.get();
+        signal("CONT", frozen);
+        assertThat(a.status()).isEqualTo(200);
+        assertThat(a.text()).isEqualTo(FleetTestBase.expected("a", 400));
+        assertThat(a.header("target")).isNotEqualTo("lm-0" + busy);
+    }
+
+    private static void signal(String name, Process p) throws Exception {
+        String pid = Long.toString(p.pid());
+        assertThat(new ProcessBuilder("kill", "-" + name, pid).start().waitFor()).isEqualTo(0);
+    }
+
     @Test
     void wrongSettingsEndWithExitCode2AndNothingStarted() throws Exception {
         Path file = Files.writeString(mDir.resolve("bad.ini"), "[daemon]\nrole = router\n");
--- a/forkseam-bench/src/test/java/org/forkseam/bench/ServingTest.java
+++ b/forkseam-bench/src/test/java/org/forkseam/bench/ServingTest.java
@@ -4,6 +4,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import org.forkseam.daemon.Daemon;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -39,6 +40,42 @@
         assertThat(Integer.parseInt(second.header("reused-tokens"))).isGreaterThan(30);
     }
 
+    @Test
+    void modelsAreListed() throws Exception {
+        Caller.Answer a =
+                mCaller.send(mRouter1.callersAddress(), "GET", "/v1/models", "", Map.of());
+        assertThat(a.status()).isEqualTo(200);
+        assertThat(a.text()).contains("\"id\":\"forecast-lm\"");
+    }
+
+    @Test
+    void quotaHoldsOverBothRoutersAndGoesWhereTheTrafficIs() throws Exception {
+        mOperator.apply("[team loud]\nrequests-per-second = 20\nburst = 2\n");
+        waitForConfig(2);
+        Waiting.until(
+                "one router is granted most of the quota",
+                () -> {
+                    int served = 0;
+                    for (int i = 0; i < 100; i++) {
+                        served += quota(mRouter1) == 200 ? 1 : 0;
+                        Thread.sleep(10);
+                    }
+                    return served > 12;
+                });
+        Caller.Answer refused = null;
+        while (refused == null || refused.status() == 200) {
+            refused = call(mRouter1, CALLS, "x", Map.of("Team", "loud"));
+        }
+        assertThat(refused.status()).isEqualTo(429);
+        assertThat(refused.header("outcome")).isEqualTo("not-run");
+        assertThat(refused.header("retry-after-ms")).isNotEmpty();
+        assertThat(call(mRouter1, CALLS, "x", Map.of("Team", "quiet")).status()).isEqualTo(200);
+    }
+
+    private int quota(Daemon router) throws InterruptedException {
+        return call(router, CALLS, "x", Map.of("Team", "loud")).status();
+    }
+
     @Test
     void usageGoesOnlyToCallersWhoAskedForIt() throws Exception {
         String plain = body("a", 4, true);
--- a/forkseam-core/src/main/java/org/forkseam/core/route/PrefixDirectory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/PrefixDirectory.java
@@ -1,7 +1,8 @@
 package org.forkseam.core.route;
 
+import org.forkseam.core.util.BoundedMap;
+
 import java.util.Arrays;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -25,15 +26,7 @@
     record Entry(String target, long atMillis) {}
 
     private PrefixDirectory(int size) {
-        mEntries =
-                new LinkedHashMap<>(64, 0.75f, true) {
-                    private static final long serialVersionUID = 1L;
-
-                    @Override
-                    protected boolean removeEldestEntry(Map.Entry<Long, Entry[]> eldest) {
-                        return size() > size;
-                    }
-                };
+        mEntries = BoundedMap.byAccess(size);
     }
 
     /** Creates a directory of at most so many beginnings. */
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/router/Responses.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/Responses.java
@@ -1,11 +1,13 @@
 package org.forkseam.daemon.router;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpResponse;
 
+import org.forkseam.core.member.FleetView;
 import org.forkseam.core.outcome.OutcomeKind;
 import org.forkseam.core.outcome.Refused;
 
@@ -35,6 +37,18 @@
         return o.toString();
     }
 
+    /** Lists the models that targets serve, in the shape that model-serving clients know. */
+    static HttpResponse.Builder models(FleetView fleet) {
+        ObjectNode o = JSON.createObjectNode().put("object", "list");
+        ArrayNode data = o.putArray("data");
+        fleet.targets().stream()
+                .flatMap(t -> t.labels().get("model").stream())
+                .distinct()
+                .sorted()
+                .forEach(m -> data.addObject().put("id", m).put("object", "model"));
+        return HttpResponse.ok200().withJson(o.toString());
+    }
+
     /** Writes the final word on a request that got no answer. */
     static HttpResponse.Builder refused(Refused r) {
         int status = r.reason().status();
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/router/Router.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/Router.java
@@ -48,6 +48,7 @@
     public static final String NAME = "router";
 
     private static final Logger LOG = LoggerFactory.getLogger(Router.class);
+    private static final String MODELS_PATH = "/v1/models";
     private static final long TICK_MILLIS = 250;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int NOT_FOUND = 404;
@@ -250,6 +251,9 @@
         if (path.equals("/readyz")) {
             return ready().toPromise();
         }
+        if (path.equals(MODELS_PATH)) {
+            return Responses.models(mFleet.view()).toPromise();
+        }
         boolean chat = path.equals(RequestReader.CHAT_PATH);
         if (!chat && !path.startsWith(RequestReader.SERVICES_PATH)) {
             String allowed =
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/share/DecisionLog.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/share/DecisionLog.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 
+import org.forkseam.core.util.BoundedMap;
 import org.forkseam.platform.http.Http;
 import org.forkseam.wire.proto.DecisionQuery;
 import org.forkseam.wire.proto.DecisionReply;
@@ -37,15 +38,7 @@
     public record Note(long atMillis, String what, String where) {}
 
     private DecisionLog(int size) {
-        mNotes =
-                new LinkedHashMap<>() {
-                    private static final long serialVersionUID = 1L;
-
-                    @Override
-                    protected boolean removeEldestEntry(Map.Entry<String, List<Note>> eldest) {
-                        return size() > size;
-                    }
-                };
+        mNotes = BoundedMap.byInsertion(size);
     }
 
     /** Creates a log of at most so many requests. */
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/CacheWatch.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/CacheWatch.java
@@ -5,6 +5,7 @@
 import io.activej.eventloop.Eventloop;
 import io.activej.http.HttpMethod;
 
+import org.forkseam.core.util.BoundedMap;
 import org.forkseam.core.util.Clock;
 import org.forkseam.daemon.share.Ticker;
 import org.forkseam.platform.http.Http;
@@ -12,7 +13,6 @@
 import org.slf4j.LoggerFactory;
 
 import java.io.IOException;
-import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
@@ -36,15 +36,7 @@
     private final String mUrl;
     private final Clock mClock;
     private final Ticker mTicker;
-    private final Map<String, Long> mStoredAt =
-            new LinkedHashMap<>() {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-                    return size() > BLOCKS_KEPT;
-                }
-            };
+    private final Map<String, Long> mStoredAt = BoundedMap.byInsertion(BLOCKS_KEPT);
     private long mNext;
     private double mLifetimeMillis;
     private long mDelayMillis = POLL_MILLIS;
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Claims.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Claims.java
@@ -4,10 +4,10 @@
 import org.forkseam.core.claim.ClaimProtocol.OwnState;
 import org.forkseam.core.claim.ClaimProtocol.Step;
 import org.forkseam.core.claim.ClaimRow;
+import org.forkseam.core.util.BoundedMap;
 import org.forkseam.platform.Row;
 import org.forkseam.platform.TxnResult;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
@@ -25,15 +25,7 @@
     private final ClaimStore mStore;
     private final String mTarget;
     private final long mIncarnation;
-    private final Map<String, OwnState> mOwn =
-            new LinkedHashMap<>() {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, OwnState> eldest) {
-                    return size() > NONCES_KEPT;
-                }
-            };
+    private final Map<String, OwnState> mOwn = BoundedMap.byInsertion(NONCES_KEPT);
 
     /**
      * Is how a try to claim ended.
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Exchange.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Exchange.java
@@ -41,6 +41,7 @@
         void onNotSent(Exchange exchange, Exception cause);
     }
 
+    private static final int SERVER_ERROR = 500;
     private static final int HELD_BYTES = 256 << 10;
 
     private final Submit mRequest;
@@ -60,7 +61,6 @@
     private Optional<Refused> mRefused = Optional.empty();
     private Optional<Claims.Result> mClaim = Optional.empty();
     private long mStartedMillis;
-    private long mEndedMillis;
 
     Exchange(Submit request, Owner owner, long nowMillis, int keptBytes) {
         this(request, owner, nowMillis, AnswerBuffer.of(keptBytes), -1);
@@ -100,10 +100,6 @@
         return mStartedMillis;
     }
 
-    long endedMillis() {
-        return mEndedMillis;
-    }
-
     int status() {
         return mStatus;
     }
@@ -216,7 +212,6 @@
 
     private void end(State state) {
         mState = state;
-        mEndedMillis = System.currentTimeMillis();
         mOwner.onEnded(this);
         pump();
     }
@@ -256,6 +251,11 @@
 
     @Override
     public void onHead(int status, List<Header> headers) {
+        if (mRequest.getChat() && status >= SERVER_ERROR) {
+            // An engine that fails at once has answered nothing: another may.
+            refuse(Refused.failed(RefusalReason.BROKEN_ANSWER, "engine's status " + status));
+            return;
+        }
         mStatus = status;
         mHeaders = headers;
         mIsEventStream =
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Sidecar.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Sidecar.java
@@ -3,7 +3,6 @@
 import io.activej.eventloop.Eventloop;
 
 import org.forkseam.core.cfg.PoolSpec;
-import org.forkseam.core.claim.ClaimRow;
 import org.forkseam.core.label.Selector;
 import org.forkseam.core.load.LoadDigest;
 import org.forkseam.core.outcome.RefusalReason;
@@ -19,7 +18,6 @@
 import org.forkseam.daemon.share.Fleet;
 import org.forkseam.daemon.share.FleetSync;
 import org.forkseam.daemon.share.Ticker;
-import org.forkseam.platform.TxnResult;
 import org.forkseam.wire.Link;
 import org.forkseam.wire.proto.Credit;
 import org.forkseam.wire.proto.LoadNotice;
@@ -57,7 +55,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(Sidecar.class);
     private static final long TICK_MILLIS = 50;
     private static final long ALIVE_MILLIS = 1_000;
-    private static final long ABANDON_MILLIS = 300;
 
     private final Eventloop mLoop;
     private final Clock mClock;
@@ -66,7 +63,7 @@
     private final FleetSync mSync;
     private final Links mLinks;
     private final TargetClient mTarget;
-    private final Claims mClaims;
+    private final UnrepeatableRuns mUnrepeatable;
     private final Optional<CacheWatch> mCache;
     private final TargetGate<Exchange> mGate;
     private final AnswerKeeper mKeeper;
@@ -110,10 +107,11 @@
         mSync = parts.sync();
         mLinks = parts.links();
         mTarget = parts.target();
-        mClaims = parts.claims();
         mCache = parts.cache();
         mCounters = parts.counters();
         mGate = TargetGate.of(config.target(), config.capacity(), clock, random, this);
+        mUnrepeatable =
+                new UnrepeatableRuns(loop, clock, parts.claims(), mTarget, mGate, mCounters);
         mKeeper = AnswerKeeper.of(config.keptBytes());
         mDecisions = DecisionLog.of(DecisionLog.DEFAULT_SIZE);
         mDigests = DigestCarrier.of(mFleet, clock, random);
@@ -294,7 +292,7 @@
         learn(link, s.getDigestsList());
         Viewer viewer = viewer(link, s.getStream(), 0, s.getWindow());
         Optional<Exchange> known = mKeeper.byRequest(s.getRequestId(), s.getFingerprint());
-        if (known.isPresent() && known.get().state() != Exchange.State.OVER) {
+        if (known.isPresent() && canJoin(known.get())) {
             mCounters.onJoined();
             attach(known.get(), viewer);
             return;
@@ -321,6 +319,12 @@
                 .ifPresent(r -> onRefused(e, r));
     }
 
+    /** A repeatable request whose answer is no longer kept from its start is run again. */
+    private static boolean canJoin(Exchange e) {
+        boolean kept = e.buffer().has(0) || e.request().getUnrepeatable();
+        return e.state() != Exchange.State.OVER && kept;
+    }
+
     /** Serves a router that is ahead in configuration, until this sidecar has caught up. */
     private static PoolSpec unknownPool(String name) {
         return new PoolSpec(
@@ -439,8 +443,7 @@
             e.run(mTarget, mClock.nowMillis());
             return;
         }
-        String key = claimKey(e);
-        mClaims.claim(key, e.request().getFingerprint()).thenAccept(r -> onClaimed(e, r));
+        mUnrepeatable.start(e);
     }
 
     @Override
@@ -450,60 +453,6 @@
         e.refuse(why);
     }
 
-    private static String claimKey(Exchange e) {
-        return ClaimStore.key(e.request().getTeam(), e.request().getRequestId());
-    }
-
-    // ---------------------------------------------------------------- claims
-
-    private void onClaimed(Exchange e, Claims.Result r) {
-        mDecisions.note(e.request().getRequestId(), "claim " + r.step(), mConfig.target());
-        mCounters.onClaim(r.step().name());
-        switch (r.step()) {
-            case RUN -> runClaimed(e, r);
-            case REPLAY -> replay(e, r);
-            // The attempt that holds the claim broke off here, or it would have been joined
-            // already.
-            case JOIN -> endUnrun(e, Refused.mayHaveRun(RefusalReason.NOT_KEPT));
-            case ASK_OWNER ->
-                    endUnrun(
-                            e,
-                            Refused.notRun(RefusalReason.CLAIMED_ELSEWHERE, 0)
-                                    .withOwner(r.seen().map(ClaimRow::owner).orElse("")));
-            case ID_REUSED -> endUnrun(e, Refused.notRun(RefusalReason.ID_REUSED, 0));
-            case MAY_HAVE_RUN -> endUnrun(e, Refused.mayHaveRun(RefusalReason.UNKNOWN_ATTEMPT));
-            default -> endUnrun(e, Refused.notRun(RefusalReason.STORE_DOWN, 1000));
-        }
-    }
-
-    private void runClaimed(Exchange e, Claims.Result r) {
-        boolean late = mClock.nowMillis() - e.arrivedMillis() >= e.request().getRemainingMillis();
-        if (e.isOver() || late) {
-            mGate.release(0);
-            mClaims.abandon(claimKey(e), r, e.request().getFingerprint());
-            e.refuse(Refused.notRun(RefusalReason.DEADLINE, 0));
-            return;
-        }
-        e.setClaim(r);
-        e.run(mTarget, mClock.nowMillis());
-    }
-
-    private void replay(Exchange e, Claims.Result r) {
-        mGate.release(0);
-        Optional<StoredAnswer> stored = r.seen().map(ClaimRow::answer).flatMap(StoredAnswer::read);
-        if (stored.isPresent()) {
-            mCounters.onReplayed();
-            e.replay(stored.get(), mClock.nowMillis());
-        } else {
-            e.refuse(Refused.mayHaveRun(RefusalReason.NOT_KEPT));
-        }
-    }
-
-    private void endUnrun(Exchange e, Refused refused) {
-        mGate.release(0);
-        e.refuse(refused);
-    }
-
     // ---------------------------------------------------------------- from exchanges
 
     @Override
@@ -514,8 +463,8 @@
             mCounters.onServed(e.usage());
             mDecisions.note(e.request().getRequestId(), "ended " + e.state(), mConfig.target());
         }
-        if (ran && e.claim().isPresent()) {
-            writeDone(e, 0);
+        if (ran) {
+            mUnrepeatable.onEnded(e);
         }
         mLoop.post(
                 () -> {
@@ -532,40 +481,10 @@
         checkDrained();
     }
 
-    private void writeDone(Exchange e, int tries) {
-        String answer =
-                e.frames()
-                        .filter(
-                                f ->
-                                        f.stream().mapToInt(d -> d.length).sum()
-                                                < StoredAnswer.MAX_BYTES)
-                        .map(f -> StoredAnswer.of(e.status(), e.headers(), f).write())
-                        .orElse("");
-        mClaims.done(claimKey(e), e.claim().orElseThrow(), e.request().getFingerprint(), answer)
-                .thenAccept(r -> retryDone(e, r, tries));
-    }
-
-    /** Tries again while the table service is down; the claim itself stands meanwhile. */
-    private void retryDone(Exchange e, TxnResult result, int tries) {
-        if (result instanceof TxnResult.Unknown && tries < 8) {
-            mLoop.delay(500L << Math.min(tries, 5), () -> writeDone(e, tries + 1));
-        }
-    }
-
     @Override
     public void onNotSent(Exchange e, Exception cause) {
         Refused r = Refused.notRun(RefusalReason.TARGET_DOWN, 1000).withDetail(cause.toString());
         mCounters.onRefused(r.reason());
-        if (e.claim().isEmpty()) {
-            e.refuse(r);
-            return;
-        }
-        // The claim is given back before the router hears of it, so that another target may run it.
-        Claims.Result claim = e.claim().get();
-        CompletableFuture<Void> given =
-                mClaims.abandon(claimKey(e), claim, e.request().getFingerprint());
-        e.dropClaim();
-        given.thenRun(() -> e.refuse(r));
-        mLoop.delay(ABANDON_MILLIS, () -> e.refuse(r));
+        mUnrepeatable.giveBack(e, r);
     }
 }
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/StoredAnswer.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/StoredAnswer.java
@@ -25,7 +25,14 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    static StoredAnswer of(int status, List<Header> headers, List<byte[]> frames) {
+    /** Returns an exchange's answer, if it is whole and small enough to be kept. */
+    static Optional<StoredAnswer> of(Exchange e) {
+        return e.frames()
+                .filter(f -> f.stream().mapToInt(d -> d.length).sum() < MAX_BYTES)
+                .map(f -> of(e.status(), e.headers(), f));
+    }
+
+    private static StoredAnswer of(int status, List<Header> headers, List<byte[]> frames) {
         List<String> names = headers.stream().map(Header::getName).toList();
         List<String> values = headers.stream().map(Header::getValue).toList();
         return new StoredAnswer(status, names, values, frames);
--- a/forkseam-platform/src/main/java/org/forkseam/platform/http/Http.java
+++ b/forkseam-platform/src/main/java/org/forkseam/platform/http/Http.java
@@ -43,8 +43,9 @@
      * @param status the HTTP status
      * @param body the body
      * @param retryAfterMillis from Retry-After, or 0
+     * @param etag names the content's version, or empty
      */
-    public record Answer(int status, byte[] body, long retryAfterMillis) {}
+    public record Answer(int status, byte[] body, long retryAfterMillis, String etag) {}
 
     private Http(HttpClient client, Eventloop eventloop, long timeoutMillis) {
         mClient = client;
@@ -64,9 +65,26 @@
         return new Http(client, eventloop, timeout.toMillis());
     }
 
+    /** Reads what a URL holds; status 304 if it is still of the version named by the ETag. */
+    public CompletableFuture<Answer> getIfChanged(String service, String url, String etag) {
+        HttpRequest.Builder b = HttpRequest.get(url);
+        if (!etag.isEmpty()) {
+            b.withHeader(HttpHeaders.IF_NONE_MATCH, etag);
+        }
+        return send(service, b);
+    }
+
     /** Sends a request; the future fails when no answer came in time, or one of status 500 up. */
     public CompletableFuture<Answer> send(
             String service, HttpMethod method, String url, byte[] body) {
+        HttpRequest.Builder b = HttpRequest.builder(method, url);
+        if (body != null) {
+            b.withBody(body).withHeader(HttpHeaders.CONTENT_TYPE, "application/json");
+        }
+        return send(service, b);
+    }
+
+    private CompletableFuture<Answer> send(String service, HttpRequest.Builder b) {
         CompletableFuture<Answer> done = new CompletableFuture<>();
         ScheduledRunnable timeout =
                 mEventloop.delayBackground(
@@ -74,10 +92,6 @@
                         () ->
                                 done.completeExceptionally(
                                         new PlatformException(service, "no answer in time")));
-        HttpRequest.Builder b = HttpRequest.builder(method, url);
-        if (body != null) {
-            b.withBody(body).withHeader(HttpHeaders.CONTENT_TYPE, "application/json");
-        }
         Promise<HttpResponse> sent = mClient.request(b.build());
         sent.then(r -> r.loadBody(MAX_BODY_BYTES).map(buf -> answer(r, buf)))
                 .subscribe(
@@ -97,7 +111,8 @@
 
     private static Answer answer(HttpResponse r, ByteBuf buf) {
         long after = seconds(Optional.ofNullable(r.getHeader(HttpHeaders.RETRY_AFTER)));
-        return new Answer(r.getCode(), buf.getArray(), after);
+        String etag = Optional.ofNullable(r.getHeader(HttpHeaders.ETAG)).orElse("");
+        return new Answer(r.getCode(), buf.getArray(), after, etag);
     }
 
     private static long seconds(Optional<String> text) {
--- a/forkseam-platform/src/main/java/org/forkseam/platform/http/HttpHostList.java
+++ b/forkseam-platform/src/main/java/org/forkseam/platform/http/HttpHostList.java
@@ -2,8 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 
-import io.activej.http.HttpMethod;
-
 import org.forkseam.core.label.Labels;
 import org.forkseam.core.member.HostEntry;
 import org.forkseam.platform.HostList;
@@ -19,7 +17,7 @@
 /**
  * Reads the host list in the form of Prometheus HTTP service discovery: a list of {@code targets}
  * with {@code labels}, of which {@code host} names the host and {@code state=leaving} says that it
- * leaves.
+ * leaves. The list is sent again only when its ETag has changed: at 1,200 hosts it is some 300 KB.
  *
  * @since 0.1
  */
@@ -28,9 +26,12 @@
     private static final String HOST = "host";
     private static final String STATE = "state";
     private static final int OK = 200;
+    private static final int NOT_MODIFIED = 304;
 
     private final Http mHttp;
     private final String mUrl;
+    private String mEtag = "";
+    private List<HostEntry> mLast = List.of();
 
     private HttpHostList(Http http, String url) {
         mHttp = http;
@@ -44,16 +45,21 @@
 
     @Override
     public CompletableFuture<List<HostEntry>> read() {
-        return mHttp.send(SERVICE, HttpMethod.GET, mUrl, null).thenCompose(HttpHostList::parse);
+        return mHttp.getIfChanged(SERVICE, mUrl, mEtag).thenCompose(this::parse);
     }
 
-    private static CompletableFuture<List<HostEntry>> parse(Http.Answer a) {
+    private CompletableFuture<List<HostEntry>> parse(Http.Answer a) {
+        if (a.status() == NOT_MODIFIED) {
+            return CompletableFuture.completedFuture(mLast);
+        }
         if (a.status() != OK) {
             return CompletableFuture.failedFuture(
                     new PlatformException(SERVICE, "status " + a.status()));
         }
         try {
-            return CompletableFuture.completedFuture(entries(Http.JSON.readTree(a.body())));
+            mLast = entries(Http.JSON.readTree(a.body()));
+            mEtag = a.etag();
+            return CompletableFuture.completedFuture(mLast);
         } catch (IOException e) {
             return CompletableFuture.failedFuture(new PlatformException(SERVICE, e));
         }
--- a/forkseam-standin/src/main/java/org/forkseam/standin/EngineStandin.java
+++ b/forkseam-standin/src/main/java/org/forkseam/standin/EngineStandin.java
@@ -104,6 +104,11 @@
         return mServer.url();
     }
 
+    /** Returns the faults: an engine that is down answers chats with 503. */
+    public Faults faults() {
+        return mFaults;
+    }
+
     /** Returns requests counted, of whatever kind. */
     public int requests() {
         return mFaults.requests();
@@ -217,6 +222,9 @@
     }
 
     private Promise<HttpResponse> chat(String id, JsonNode body) {
+        if (mFaults.isDown()) {
+            return HttpResponse.ofCode(503).toPromise();
+        }
         String key = id == null ? "local-" + mArrivals : id;
         String request = key.contains(":") ? key.substring(0, key.indexOf(':')) : key;
         mRuns.computeIfAbsent(request, k -> new AtomicInteger()).incrementAndGet();
--- a/forkseam-standin/src/main/java/org/forkseam/standin/PlatformStandin.java
+++ b/forkseam-standin/src/main/java/org/forkseam/standin/PlatformStandin.java
@@ -33,6 +33,7 @@
     private static final String OBJECTS = "/objects/";
     private static final String WEIGHTS = "/weights/";
     private static final int TOO_MANY = 429;
+    private static final int NOT_MODIFIED = 304;
 
     private final StandinServer mServer = StandinServer.of("platform");
     private final TableStandin mTable = new TableStandin();
@@ -173,8 +174,18 @@
         if (path.startsWith(WEIGHTS)) {
             return weights().toPromise();
         }
-        return faulty(
-                mHostFaults, http, body -> HttpResponse.ok200().withJson(mHostsShown).build());
+        return faulty(mHostFaults, http, body -> hosts(http));
+    }
+
+    private HttpResponse hosts(HttpRequest http) {
+        String etag = '"' + Integer.toHexString(mHostsShown.hashCode()) + '"';
+        if (etag.equals(http.getHeader(HttpHeaders.IF_NONE_MATCH))) {
+            return HttpResponse.ofCode(NOT_MODIFIED).build();
+        }
+        return HttpResponse.ok200()
+                .withHeader(HttpHeaders.ETAG, etag)
+                .withJson(mHostsShown)
+                .build();
     }
 
     /** Answers one request whose faults have been seen to. */
--- a/forkseam-standin/src/test/java/org/forkseam/standin/PlatformContractTest.java
+++ b/forkseam-standin/src/test/java/org/forkseam/standin/PlatformContractTest.java
@@ -192,6 +192,16 @@
                         new HostEntry("h2", "127.0.0.1:2", true, labels));
     }
 
+    @Test
+    void unchangedHostListIsKnownWithoutBeingSentAgain() throws Exception {
+        HttpHostList l = HttpHostList.of(mHttp, mPlatform.hostsUrl());
+        mPlatform.putHost(new HostEntry("h1", "127.0.0.1:1", false, Labels.empty()));
+        List<HostEntry> first = on(l::read);
+        assertThat(on(l::read)).isSameInstanceAs(first);
+        mPlatform.removeHost("h1");
+        assertThat(on(l::read)).isEmpty();
+    }
+
     @ParameterizedTest
     @EnumSource(Fault.class)
     void faultOfTheHostListIsAFailure(Fault fault) throws Exception {
