Keep a chat with its team in the measured trace; price of skew 1600

Found: the trace itself sent one chat under changing teams in a surge, and under changing ids where its turns overtook each other, so that its ticket, signed for one chat of one team, was rightly not read.

Conclusion: the trace is mended, the price is 1600.

--- a/forkseam-bench/src/main/java/org/forkseam/bench/Experiment.java
+++ b/forkseam-bench/src/main/java/org/forkseam/bench/Experiment.java
@@ -66,6 +66,7 @@
         final List<Caller.Message> mMessages = new ArrayList<>();
         String mTicket = "";
         int mHeldTokens;
+        int mStarts;
     }
 
     private Experiment(Plan plan, LocalFleet fleet) {
@@ -190,6 +191,7 @@
             // A chat goes on where it was; after some turns it starts again.
             if (c.mMessages.size() >= 2 * TURNS_KEPT) {
                 c.mMessages.clear();
+                c.mStarts++;
                 c.mTicket = "";
                 c.mHeldTokens = 0;
             }
@@ -199,7 +201,7 @@
             c.mMessages.add(Trace.question(r.chat(), r.turn()));
             String id = "q" + n;
             Map<String, String> h = new HashMap<>(Map.of("Team", r.team(), "Request-Id", id));
-            h.put("Chat-Id", "chat-" + r.chat() + "-" + r.turn() / TURNS_KEPT);
+            h.put("Chat-Id", "chat-" + r.chat() + "-" + c.mStarts);
             if (!c.mTicket.isEmpty()) {
                 h.put("Ticket", c.mTicket);
             }
--- a/forkseam-bench/src/main/java/org/forkseam/bench/Trace.java
+++ b/forkseam-bench/src/main/java/org/forkseam/bench/Trace.java
@@ -15,6 +15,7 @@
     private static final double CALL_SHARE = 0.1;
     private static final double UNREPEATABLE_SHARE = 0.02;
     private static final double ZIPF = 1.1;
+    private static final int SURGING_TEAMS = 2;
 
     /**
      * Is one request of the trace.
@@ -78,10 +79,12 @@
             at += -Math.log(1 - mRandom.nextDouble()) * 1000 / rate;
             boolean fromSurge = surging && mRandom.nextBoolean();
             int chat = mRandom.nextInt(mShape.chats());
-            int team = fromSurge ? mRandom.nextInt(2) : teamOf[chat];
+            while (fromSurge && teamOf[chat] >= SURGING_TEAMS) {
+                chat = mRandom.nextInt(mShape.chats());
+            }
             boolean unrepeatable = mRandom.nextDouble() < UNREPEATABLE_SHARE;
             boolean call = unrepeatable || mRandom.nextDouble() < CALL_SHARE;
-            String name = "team-" + team;
+            String name = "team-" + teamOf[chat];
             if (call) {
                 out.add(new Request((long) at, name, -1, 0, 0, unrepeatable));
             } else {
--- a/forkseam-core/src/main/java/org/forkseam/core/route/StdPlacement.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/StdPlacement.java
@@ -28,7 +28,7 @@
     /** What load below the mean counts for, against load above: a cached chat stays for it. */
     private static final double BELOW_MEAN = 0.1;
 
-    private static final double LOAD_PRICE_SKEW = 2200;
+    private static final double LOAD_PRICE_SKEW = 1600;
     private static final double HEALTH_PRICE = 20_000;
 
     private final PrefixDirectory mPrefixes;
