Take digests in at one place; use the pool's capacity that is known

Cause: reading the whole change again. Reading the digests of a link and feeding the view stood three times (FleetSync, Attempts, Sidecar): now Fleet.learn. The sidecar summed its pool's capacity anew with each request, which PoolView holds. FleetView repeated TargetView's check for newer digests, and two methods of PoolLoad were called by nobody.

Ruled out: PoolView.totalLoad for the router's sum of the others' load: it is counted once a millisecond, and the last try needs this very moment's.

Conclusion: behaviour as it was.

--- a/forkseam-core/src/main/java/org/forkseam/core/load/PoolLoad.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/load/PoolLoad.java
@@ -1,8 +1,6 @@
 package org.forkseam.core.load;
 
-import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -44,20 +42,6 @@
         return Optional.ofNullable(mNewest.get(target));
     }
 
-    /** Returns all newest digests. */
-    public Collection<LoadDigest> all() {
-        return mNewest.values();
-    }
-
-    /** Returns the digests heard most recently, at most {@code count}, without one target's own. */
-    public List<LoadDigest> newest(int count, String except) {
-        return mNewest.values().stream()
-                .filter(d -> !d.target().equals(except))
-                .sorted((a, b) -> Long.compare(b.atMillis(), a.atMillis()))
-                .limit(count)
-                .toList();
-    }
-
     /** Returns requests carried by all targets heard of. */
     public long totalLoad() {
         return mTotalLoad;
--- a/forkseam-core/src/main/java/org/forkseam/core/member/FleetView.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/FleetView.java
@@ -48,14 +48,9 @@
         rebuild();
     }
 
-    /** Takes a load digest in and returns whether it told anything new. */
-    public boolean onDigest(LoadDigest digest) {
-        TargetView t = mTargets.get(digest.target());
-        if (t == null || (t.digest().isPresent() && !digest.isNewerThan(t.digest().get()))) {
-            return false;
-        }
-        t.onDigest(digest);
-        return true;
+    /** Takes a load digest in; one of an unknown target, or an older one, is dropped. */
+    public void onDigest(LoadDigest digest) {
+        target(digest.target()).ifPresent(t -> t.onDigest(digest));
     }
 
     // ---------------------------------------------------------------- accessors
--- a/forkseam-core/src/main/java/org/forkseam/core/route/PoolView.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/PoolView.java
@@ -96,6 +96,11 @@
         return mHomes;
     }
 
+    /** Returns the capacity of the whole pool. */
+    public long totalCapacity() {
+        return mTotalCapacity;
+    }
+
     /** Returns the load of the whole pool; summed at most once a millisecond. */
     public long totalLoad(long nowMillis) {
         if (nowMillis != mSumAtMillis) {
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/router/Attempts.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/Attempts.java
@@ -2,7 +2,6 @@
 
 import io.activej.eventloop.Eventloop;
 
-import org.forkseam.core.load.LoadDigest;
 import org.forkseam.core.util.Clock;
 import org.forkseam.daemon.net.Links;
 import org.forkseam.daemon.net.PacketSink;
@@ -115,9 +114,7 @@
     }
 
     private void learn(Link link, List<org.forkseam.wire.proto.LoadDigest> digests) {
-        for (LoadDigest d : mFleet.read(link, digests, mClock.nowMillis())) {
-            mFleet.view().onDigest(d);
-        }
+        mFleet.learn(link, digests, mClock.nowMillis());
     }
 
     @Override
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/share/Fleet.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/share/Fleet.java
@@ -95,8 +95,11 @@
         mListeners.forEach(Runnable::run);
     }
 
-    /** Reads digests that came over a link, without those of unknown targets. */
-    public List<LoadDigest> read(
+    /**
+     * Takes in the digests that came over a link, and returns them without those of unknown
+     * targets.
+     */
+    public List<LoadDigest> learn(
             Link link, List<org.forkseam.wire.proto.LoadDigest> digests, long nowMillis) {
         List<LoadDigest> out = new ArrayList<>(digests.size());
         for (org.forkseam.wire.proto.LoadDigest d : digests) {
@@ -106,6 +109,7 @@
                             : Optional.ofNullable(mByHash.get(d.getTarget()));
             t.ifPresent(v -> out.add(Codec.fromWire(d, v.name(), v.capacity(), nowMillis)));
         }
+        out.forEach(mView::onDigest);
         return out;
     }
 
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/share/FleetSync.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/share/FleetSync.java
@@ -293,8 +293,7 @@
     }
 
     private void onNotice(Link link, LoadNotice notice) {
-        mFleet.read(link, notice.getDigestsList(), mClock.nowMillis())
-                .forEach(d -> mFleet.view().onDigest(d));
+        mFleet.learn(link, notice.getDigestsList(), mClock.nowMillis());
     }
 
     /** Returns whether a link may be used for catching up again so soon. */
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Sidecar.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Sidecar.java
@@ -4,7 +4,6 @@
 
 import org.forkseam.core.cfg.PoolSpec;
 import org.forkseam.core.label.Selector;
-import org.forkseam.core.load.LoadDigest;
 import org.forkseam.core.outcome.RefusalReason;
 import org.forkseam.core.outcome.Refused;
 import org.forkseam.core.route.PoolView;
@@ -282,10 +281,7 @@
     }
 
     private void learn(Link link, List<org.forkseam.wire.proto.LoadDigest> digests) {
-        for (LoadDigest d : mFleet.read(link, digests, mClock.nowMillis())) {
-            mGate.onDigest(d);
-            mFleet.view().onDigest(d);
-        }
+        mFleet.learn(link, digests, mClock.nowMillis()).forEach(mGate::onDigest);
     }
 
     private void onSubmit(Link link, Submit s) {
@@ -303,9 +299,7 @@
         long deadline = mClock.nowMillis() + s.getRemainingMillis();
         Optional<PoolView> pool = mFleet.view().pool(s.getPool());
         PoolSpec spec = pool.map(PoolView::spec).orElseGet(() -> unknownPool(s.getPool()));
-        long capacity =
-                pool.map(v -> v.targets().stream().mapToLong(TargetView::capacity).sum())
-                        .orElse((long) mConfig.capacity());
+        long capacity = pool.map(PoolView::totalCapacity).orElse((long) mConfig.capacity());
         int members = pool.map(v -> v.targets().size()).orElse(1);
         mGate.onOthersLoad(s.getPool(), s.getOthersLoad(), s.getOthersRefused());
         mGate.enter(
