--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/Daemon.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/Daemon.java
@@ -5,12 +5,12 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 
+import org.forkseam.core.kernel.Kernel;
 import org.forkseam.core.util.Clock;
 import org.forkseam.daemon.admin.AdminApi;
 import org.forkseam.daemon.admin.Explainer;
 import org.forkseam.daemon.cfg.SettingKey;
 import org.forkseam.daemon.cfg.Settings;
-import org.forkseam.core.kernel.Kernel;
 import org.forkseam.daemon.net.Links;
 import org.forkseam.daemon.orders.OrderDesk;
 import org.forkseam.daemon.orders.Rollouts;
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/net/Links.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/net/Links.java
@@ -2,8 +2,8 @@
 
 import io.activej.eventloop.Eventloop;
 
-import org.forkseam.daemon.cfg.Settings;
 import org.forkseam.core.kernel.Service;
+import org.forkseam.daemon.cfg.Settings;
 import org.forkseam.wire.Link;
 import org.forkseam.wire.LinkHandler;
 import org.forkseam.wire.Wire;
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/orders/Rollouts.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/orders/Rollouts.java
@@ -2,12 +2,12 @@
 
 import io.activej.eventloop.Eventloop;
 
+import org.forkseam.core.kernel.Service;
 import org.forkseam.core.orders.DeploymentSpec;
 import org.forkseam.core.orders.EngineState;
 import org.forkseam.core.orders.RolloutPlanner;
 import org.forkseam.core.route.TargetView;
 import org.forkseam.core.util.Clock;
-import org.forkseam.core.kernel.Service;
 import org.forkseam.daemon.net.Links;
 import org.forkseam.daemon.net.PacketSink;
 import org.forkseam.daemon.share.Fleet;
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/router/Router.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/Router.java
@@ -10,6 +10,7 @@
 import io.activej.promise.Promise;
 import io.micrometer.core.instrument.MeterRegistry;
 
+import org.forkseam.core.kernel.Service;
 import org.forkseam.core.outcome.RefusalReason;
 import org.forkseam.core.outcome.Refused;
 import org.forkseam.core.route.Baselines;
@@ -17,7 +18,6 @@
 import org.forkseam.core.route.PrefixDirectory;
 import org.forkseam.core.route.StdPlacement;
 import org.forkseam.core.util.Clock;
-import org.forkseam.core.kernel.Service;
 import org.forkseam.daemon.net.Links;
 import org.forkseam.daemon.share.DecisionLog;
 import org.forkseam.daemon.share.Fleet;
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/share/ClaimSweeper.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/share/ClaimSweeper.java
@@ -3,8 +3,8 @@
 import io.activej.eventloop.Eventloop;
 
 import org.forkseam.core.claim.ClaimRow;
-import org.forkseam.core.util.Clock;
 import org.forkseam.core.kernel.Service;
+import org.forkseam.core.util.Clock;
 import org.forkseam.daemon.sidecar.ClaimStore;
 import org.forkseam.platform.Row;
 import org.forkseam.platform.TableService;
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/share/FleetSync.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/share/FleetSync.java
@@ -4,10 +4,10 @@
 
 import org.forkseam.core.cfg.ConfigChange;
 import org.forkseam.core.cfg.FleetConfig;
+import org.forkseam.core.kernel.Service;
 import org.forkseam.core.load.LoadDigest;
 import org.forkseam.core.member.HostEntry;
 import org.forkseam.core.util.Clock;
-import org.forkseam.core.kernel.Service;
 import org.forkseam.daemon.net.Links;
 import org.forkseam.daemon.net.PacketSink;
 import org.forkseam.platform.HostList;
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Sidecar.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Sidecar.java
@@ -3,13 +3,13 @@
 import io.activej.eventloop.Eventloop;
 
 import org.forkseam.core.cfg.PoolSpec;
+import org.forkseam.core.kernel.Service;
 import org.forkseam.core.label.Selector;
 import org.forkseam.core.outcome.RefusalReason;
 import org.forkseam.core.outcome.Refused;
 import org.forkseam.core.route.PoolView;
 import org.forkseam.core.route.TargetView;
 import org.forkseam.core.util.Clock;
-import org.forkseam.core.kernel.Service;
 import org.forkseam.daemon.net.Links;
 import org.forkseam.daemon.net.PacketSink;
 import org.forkseam.daemon.share.DecisionLog;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/DirectRouter.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/DirectRouter.java
@@ -1,7 +1,5 @@
 package org.forkseam.direct;
 
-import io.micrometer.prometheusmetrics.PrometheusConfig;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoop;
 
 import org.forkseam.core.kernel.Kernel;
@@ -46,19 +44,18 @@
         RandomGenerator random = new java.util.SplittableRandom(settings.host().hashCode());
         long listMillis = (long) (settings.bounds().leaveMillis() / READS_PER_LEAVE);
         Knowledge knowledge = Knowledge.of(loop, clock, source, random, listMillis);
-        PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         RouterService router =
                 RouterService.of(
                         loop,
                         clock,
                         settings,
-                        new RouterService.Parts(knowledge, protocol, registry, random));
+                        new RouterService.Parts(knowledge, protocol, random));
         Kernel kernel = Kernel.of(settings.bounds().stopMillis());
         AdminService admin =
                 AdminService.of(
                         loop,
                         new AdminService.Addresses(settings.readiness(), settings.metrics()),
-                        new AdminService.Views(router::isReady, registry, kernel::dump));
+                        new AdminService.Views(router::isReady, router.meters(), kernel::dump));
         kernel.add(knowledge).add(admin).add(router);
         return new DirectRouter(kernel, router);
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/admin/AdminService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/admin/AdminService.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
+import io.micrometer.core.instrument.binder.MeterBinder;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -32,6 +34,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
@@ -45,6 +48,9 @@
     /** Name of the service. */
     public static final String NAME = "admin";
 
+    /** The metrics library is loaded so long after the start, when callers are being served. */
+    private static final long REGISTRY_MILLIS = 8_000;
+
     private static final int MAX_BODY_BYTES = 4096;
     private static final String DUMP_PATH = "/dump";
 
@@ -52,9 +58,10 @@
     private final InetSocketAddress mReadiness;
     private final Optional<InetSocketAddress> mMetrics;
     private final BooleanSupplier mReady;
-    private final PrometheusMeterRegistry mRegistry;
+    private final MeterBinder mMeters;
     private final Supplier<Object> mDump;
     private final List<Channel> mListeners = new ArrayList<>();
+    private Optional<PrometheusMeterRegistry> mRegistry = Optional.empty();
     private boolean mWasReady;
 
     private AdminService(EventLoop loop, Addresses addresses, Views views) {
@@ -62,7 +69,7 @@
         mReadiness = addresses.readiness();
         mMetrics = addresses.metrics();
         mReady = views.ready();
-        mRegistry = views.registry();
+        mMeters = views.meters();
         mDump = views.dump();
     }
 
@@ -70,8 +77,7 @@
     public record Addresses(InetSocketAddress readiness, Optional<InetSocketAddress> metrics) {}
 
     /** Holds what the answers are made of. */
-    public record Views(
-            BooleanSupplier ready, PrometheusMeterRegistry registry, Supplier<Object> dump) {}
+    public record Views(BooleanSupplier ready, MeterBinder meters, Supplier<Object> dump) {}
 
     /** Creates the service. */
     public static AdminService of(EventLoop loop, Addresses addresses, Views views) {
@@ -85,6 +91,7 @@
 
     @Override
     public CompletableFuture<Void> start() {
+        mLoop.schedule(this::registry, REGISTRY_MILLIS, TimeUnit.MILLISECONDS);
         CompletableFuture<Void> ready = listen(mReadiness, this::readiness);
         if (mMetrics.isEmpty()) {
             return ready;
@@ -167,7 +174,7 @@
 
     private FullHttpResponse figures(String path) {
         if (!path.startsWith(DUMP_PATH)) {
-            return text(HttpResponseStatus.OK, mRegistry.scrape(), "text/plain; version=0.0.4");
+            return text(HttpResponseStatus.OK, registry().scrape(), "text/plain; version=0.0.4");
         }
         try {
             String json =
@@ -181,6 +188,15 @@
         }
     }
 
+    private PrometheusMeterRegistry registry() {
+        if (mRegistry.isEmpty()) {
+            PrometheusMeterRegistry r = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+            mMeters.bindTo(r);
+            mRegistry = Optional.of(r);
+        }
+        return mRegistry.get();
+    }
+
     private static FullHttpResponse text(HttpResponseStatus status, String text, String type) {
         FullHttpResponse r =
                 new DefaultFullHttpResponse(
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/FlowCounters.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/FlowCounters.java
@@ -1,57 +1,78 @@
 package org.forkseam.direct.flow;
 
-import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
+import io.micrometer.core.instrument.binder.MeterBinder;
 
 import org.forkseam.direct.log.CountingAppender;
 import org.forkseam.direct.log.Event;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
-/** Counts what becomes of requests and attempts. Used on the event loop. */
-final class FlowCounters {
-    private final MeterRegistry mRegistry;
-    private final Map<String, Counter> mOutcomes = new HashMap<>();
-    private final Map<String, Counter> mAttempts = new HashMap<>();
-    private final Timer mFirstByte;
-    private final Timer mWhole;
-
-    FlowCounters(MeterRegistry registry) {
-        mRegistry = registry;
-        mFirstByte = timer("forkseam.first_byte", "from a request to the first byte of its answer");
-        mWhole = timer("forkseam.request", "from a request to the end of its answer");
+/**
+ * Counts what becomes of requests and attempts. Used on the event loop.
+ *
+ * <p>Counts are plain numbers until a registry is bound, since the registry's classes need not be
+ * loaded before the router serves.
+ */
+final class FlowCounters implements MeterBinder {
+    /** Samples kept until a registry is bound: a few seconds' worth. */
+    private static final int MAX_PENDING = 4_096;
+
+    private static final Duration[] BUCKETS = {
+        Duration.ofMillis(50),
+        Duration.ofMillis(100),
+        Duration.ofMillis(200),
+        Duration.ofMillis(400),
+        Duration.ofMillis(800),
+        Duration.ofMillis(1600),
+        Duration.ofMillis(5000)
+    };
+
+    private final Map<String, Count> mOutcomes = new HashMap<>();
+    private final Map<String, Count> mAttempts = new HashMap<>();
+    private final Histogram mFirstByte = new Histogram();
+    private final Histogram mWhole = new Histogram();
+    private Optional<MeterRegistry> mRegistry = Optional.empty();
+
+    @Override
+    public void bindTo(MeterRegistry registry) {
+        mRegistry = Optional.of(registry);
+        mOutcomes.forEach((k, c) -> c.register("forkseam.requests", "outcome", k, registry));
+        mAttempts.forEach((k, c) -> c.register("forkseam.attempts", "end", k, registry));
+        mFirstByte.bind(
+                registry, "forkseam.first_byte", "from a request to the first byte of its answer");
+        mWhole.bind(registry, "forkseam.request", "from a request to the end of its answer");
         registry.gauge("forkseam.log.dropped", this, c -> CountingAppender.dropped());
         registry.gauge("forkseam.log.skipped", this, c -> Event.skipped());
     }
 
-    private Timer timer(String name, String help) {
-        return Timer.builder(name)
-                .description(help)
-                .serviceLevelObjectives(
-                        Duration.ofMillis(50),
-                        Duration.ofMillis(100),
-                        Duration.ofMillis(200),
-                        Duration.ofMillis(400),
-                        Duration.ofMillis(800),
-                        Duration.ofMillis(1600),
-                        Duration.ofMillis(5000))
-                .register(mRegistry);
-    }
-
     void onOutcome(String outcome) {
-        mOutcomes
-                .computeIfAbsent(outcome, o -> mRegistry.counter("forkseam.requests", "outcome", o))
-                .increment();
+        count(mOutcomes, "forkseam.requests", "outcome", outcome);
     }
 
     void onAttempt(String end) {
-        mAttempts
-                .computeIfAbsent(end, e -> mRegistry.counter("forkseam.attempts", "end", e))
-                .increment();
+        count(mAttempts, "forkseam.attempts", "end", end);
+    }
+
+    private void count(Map<String, Count> counts, String name, String tag, String value) {
+        Count c = counts.get(value);
+        if (c == null) {
+            c = new Count();
+            counts.put(value, c);
+            if (mRegistry.isPresent()) {
+                c.register(name, tag, value, mRegistry.get());
+            }
+        }
+        c.mCount++;
     }
 
     void onMalformed() {
@@ -59,10 +80,46 @@
     }
 
     void onFirstByte(long millis) {
-        mFirstByte.record(millis, TimeUnit.MILLISECONDS);
+        mFirstByte.record(millis);
     }
 
     void onEnd(long millis) {
-        mWhole.record(millis, TimeUnit.MILLISECONDS);
+        mWhole.record(millis);
+    }
+
+    /** Is one count. */
+    private static final class Count {
+        private long mCount;
+
+        void register(String name, String tag, String value, MeterRegistry registry) {
+            FunctionCounter.builder(name, this, c -> c.mCount)
+                    .tags(Tags.of(tag, value))
+                    .register(registry);
+        }
+    }
+
+    /** Is a latency histogram; keeps its first samples until there is a registry. */
+    private static final class Histogram {
+        private final Deque<Long> mPending = new ArrayDeque<>();
+        private Optional<Timer> mTimer = Optional.empty();
+
+        void bind(MeterRegistry registry, String name, String help) {
+            Timer t =
+                    Timer.builder(name)
+                            .description(help)
+                            .serviceLevelObjectives(BUCKETS)
+                            .register(registry);
+            mPending.forEach(ms -> t.record(ms, TimeUnit.MILLISECONDS));
+            mPending.clear();
+            mTimer = Optional.of(t);
+        }
+
+        void record(long millis) {
+            if (mTimer.isPresent()) {
+                mTimer.get().record(millis, TimeUnit.MILLISECONDS);
+            } else if (mPending.size() < MAX_PENDING) {
+                mPending.add(millis);
+            }
+        }
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -1,6 +1,6 @@
 package org.forkseam.direct.flow;
 
-import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.binder.MeterBinder;
 import io.netty.channel.EventLoop;
 
 import org.forkseam.core.kernel.Service;
@@ -49,7 +49,7 @@
     /** Share of the pool's mean that a home may carry before requests spill. Origin: rounds. */
     private static final double HOME_SHARE_OF_CAP = 0.75;
 
-    private static final int HOME_MARGIN = 1;
+    private static final int HOME_MARGIN = 2;
 
     /** Routers reckoned with when the repeats allowed besides a share are divided. */
     private static final int ROUTERS_RECKONED = 8;
@@ -87,16 +87,12 @@
                                                 b.repeatWindowMillis()),
                                         ROUTERS_RECKONED),
                                 new Answers(p.protocol(), p.random()),
-                                new FlowCounters(p.registry())));
+                                new FlowCounters()));
         mServer = new CallerServer(loop, mContext);
     }
 
     /** Holds what a router works with. */
-    public record Parts(
-            Knowledge knowledge,
-            CallerProtocol protocol,
-            MeterRegistry registry,
-            RandomGenerator random) {}
+    public record Parts(Knowledge knowledge, CallerProtocol protocol, RandomGenerator random) {}
 
     /** Creates the service. */
     public static RouterService of(
@@ -141,6 +137,11 @@
         return stopped;
     }
 
+    /** Returns the counts, to be bound to a registry on the event loop. */
+    public MeterBinder meters() {
+        return mContext.counters();
+    }
+
     /** Returns whether the balancer should send callers here. */
     public boolean isReady() {
         return !mContext.isLeaving() && mKnowledge.isComplete();
