Give keys to seats, and copy prompts that a target has not read

Counted from the routers' lines: 60% since new targets took keys from all others by rendezvous hashing, 20 to 30% by spills over the bound.

Done: keys belong to seats of a table that routers agree upon by compare-and-set; a newcomer takes the seat of a leaving target and no other keys. A target that is not likely to have a prompt is told from which other to copy it, which costs about a fourteenth of reading it.

--- /dev/null
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/HolderMemory.java
@@ -0,0 +1,102 @@
+package org.forkseam.core.route;
+
+import org.forkseam.core.member.Target;
+import org.forkseam.core.member.TargetDirectory;
+import org.forkseam.core.util.BoundedMap;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Remembers which targets this router has sent a key to, so that a target without the key's prompt
+ * in its memory can copy it from one that has it: a copy costs a small part of a reread.
+ *
+ * <p>Used on one thread.
+ *
+ * @since 0.2
+ */
+public final class HolderMemory {
+    /** Keys remembered; each costs some 200 bytes. */
+    private static final int MAX_KEYS = 8_192;
+
+    /** Targets remembered for a key. */
+    private static final int MAX_HOLDERS = 4;
+
+    /** After so long a prompt may have given way to others. Origin: the pools' memory and rates. */
+    private static final long KEPT_MILLIS = 60_000;
+
+    private final Map<String, BoundedMap<String, Long>> mByKey = BoundedMap.byAccess(MAX_KEYS);
+
+    private HolderMemory() {}
+
+    /** Creates a memory that knows nothing. */
+    public static HolderMemory create() {
+        return new HolderMemory();
+    }
+
+    /** Notes that a target has answered a request with a key. */
+    public void onAnswered(String key, String targetId, long nowMillis) {
+        BoundedMap<String, Long> holders =
+                mByKey.computeIfAbsent(key, k -> BoundedMap.byAccess(MAX_HOLDERS));
+        holders.put(targetId, nowMillis);
+    }
+
+    /**
+     * Returns the target to copy a prompt from, or empty if the target chosen is likely to have it.
+     *
+     * @param order targets in the order in which the key prefers them
+     */
+    public Optional<Target> source(
+            String key,
+            Target chosen,
+            List<String> order,
+            TargetDirectory directory,
+            long nowMillis) {
+        BoundedMap<String, Long> holders = mByKey.get(key);
+        if (holders != null) {
+            Long at = holders.get(chosen.entry().id());
+            if (at != null && nowMillis - at < KEPT_MILLIS) {
+                return Optional.empty();
+            }
+            Optional<Target> known = newest(holders, chosen, directory, nowMillis);
+            if (known.isPresent()) {
+                return known;
+            }
+        }
+        return firstInOrder(order, chosen, directory, nowMillis);
+    }
+
+    private static Optional<Target> newest(
+            Map<String, Long> holders, Target chosen, TargetDirectory directory, long nowMillis) {
+        Target best = null;
+        long bestAt = nowMillis - KEPT_MILLIS;
+        for (Map.Entry<String, Long> h : holders.entrySet()) {
+            Optional<Target> t = directory.find(h.getKey());
+            if (h.getValue() > bestAt && t.isPresent() && isGood(t.get(), chosen, nowMillis)) {
+                best = t.get();
+                bestAt = h.getValue();
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Other routers send a key to the first in its order, so that one is likely to have it. */
+    private static Optional<Target> firstInOrder(
+            List<String> order, Target chosen, TargetDirectory directory, long nowMillis) {
+        for (String id : order) {
+            if (id.equals(chosen.entry().id())) {
+                return Optional.empty();
+            }
+            Optional<Target> t = directory.find(id);
+            if (t.isPresent() && isGood(t.get(), chosen, nowMillis)) {
+                return t;
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static boolean isGood(Target t, Target chosen, long nowMillis) {
+        return t != chosen && t.health().share(nowMillis) >= 1 && !t.isSilent(nowMillis);
+    }
+}
--- a/forkseam-core/src/main/java/org/forkseam/core/route/HomePicker.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/HomePicker.java
@@ -5,18 +5,28 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /**
  * Prefers the same target for the same key, within a bound on load.
  *
- * <p>The order of preference is by rendezvous hashing, so all routers with the same list agree on
- * it without a message. A target over the bound is passed over.
+ * <p>The order of preference is by rendezvous hashing over the pool's seats, so all routers with
+ * the same table agree on it without a message; targets without a seat come last. A target over the
+ * bound is passed over. Requests with little to reread keep a distance from the bound, so that
+ * those with much to reread find their home below it.
  *
  * @since 0.2
  */
 public final class HomePicker implements TargetPicker {
+    /** From so many shared tokens on a reread holds other requests up for tens of milliseconds. */
+    private static final long MANY_TOKENS = 4_000;
+
+    /** Part of the bound that requests with little to reread use. */
+    private static final double LIGHT_SHARE = 0.85;
+
     private final double mMultiple;
     private final int mMargin;
 
@@ -36,25 +46,20 @@
     }
 
     @Override
-    public Optional<Pick> pick(String key, List<Target> candidates, long now) {
+    public Optional<Pick> pick(PickRequest request, List<Target> candidates, long now) {
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
-        long hash = Hashes.of(key);
-        List<Scored> order = new ArrayList<>(candidates.size());
+        List<Target> order = order(request, candidates);
         long total = 0;
-        long own = 0;
         for (Target t : candidates) {
-            order.add(new Scored(t, Rendezvous.score(hash, t.hash(), 1)));
             total += load(t, now);
-            own += t.inFlight();
         }
-        order.sort(Comparator.comparingDouble(s -> -s.score()));
-        double bound = bound(total, candidates.size());
-        double ownBound = bound(own, candidates.size());
+        double share = request.sharedTokens() < MANY_TOKENS ? LIGHT_SHARE : 1;
+        double bound = share * mMultiple * total / candidates.size() + mMargin;
         for (int i = 0; i < order.size(); i++) {
-            Target t = order.get(i).target();
-            if (load(t, now) < bound && t.inFlight() < ownBound) {
+            Target t = order.get(i);
+            if (load(t, now) < bound) {
                 Pick.Reason why = i == 0 ? Pick.Reason.HOME : Pick.Reason.SPILL;
                 return Optional.of(new Pick(t, i, why, load(t, now)));
             }
@@ -62,18 +67,32 @@
         return Optional.of(leastLoaded(order, now));
     }
 
-    private double bound(long total, int count) {
-        return mMultiple * total / count + mMargin;
+    private static List<Target> order(PickRequest request, List<Target> candidates) {
+        Map<String, Target> left = new HashMap<>();
+        candidates.forEach(t -> left.put(t.entry().id(), t));
+        long hash = Hashes.of(request.key());
+        List<Target> order = new ArrayList<>(candidates.size());
+        for (String holder : request.seats().order(hash)) {
+            Target t = left.remove(holder);
+            if (t != null) {
+                order.add(t);
+            }
+        }
+        left.values().stream()
+                .map(t -> new Scored(t, Rendezvous.score(hash, t.hash(), 1)))
+                .sorted(Comparator.comparingDouble(s -> -s.score()))
+                .forEach(s -> order.add(s.target()));
+        return order;
     }
 
-    private static Pick leastLoaded(List<Scored> order, long now) {
+    private static Pick leastLoaded(List<Target> order, long now) {
         int best = 0;
         for (int i = 1; i < order.size(); i++) {
-            if (load(order.get(i).target(), now) < load(order.get(best).target(), now)) {
+            if (load(order.get(i), now) < load(order.get(best), now)) {
                 best = i;
             }
         }
-        Target t = order.get(best).target();
+        Target t = order.get(best);
         return new Pick(t, best, Pick.Reason.ALL_LOADED, load(t, now));
     }
 
--- a/forkseam-core/src/main/java/org/forkseam/core/route/LeastLoadedPicker.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/LeastLoadedPicker.java
@@ -24,7 +24,7 @@
     }
 
     @Override
-    public Optional<Pick> pick(String key, List<Target> candidates, long now) {
+    public Optional<Pick> pick(PickRequest request, List<Target> candidates, long now) {
         Target best = null;
         double bestLoad = Double.MAX_VALUE;
         int equals = 0;
--- a/forkseam-core/src/main/java/org/forkseam/core/route/TargetPicker.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/TargetPicker.java
@@ -14,8 +14,8 @@
     /**
      * Chooses among candidates, or returns empty if there are none.
      *
-     * @param key requests with the same key prefer the same target
+     * @param request what the target is wanted for
      * @param candidates targets that may take the request, at least one for a result
      */
-    Optional<Pick> pick(String key, List<Target> candidates, long nowMillis);
+    Optional<Pick> pick(PickRequest request, List<Target> candidates, long nowMillis);
 }
--- a/forkseam-core/src/main/java/org/forkseam/core/traffic/Prompt.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/traffic/Prompt.java
@@ -23,6 +23,11 @@
         return parts.stream().mapToLong(Part::tokens).sum();
     }
 
+    /** Returns the tokens of all parts but the last. */
+    public long sharedTokens() {
+        return parts.isEmpty() ? 0 : tokens() - parts.get(parts.size() - 1).tokens();
+    }
+
     /** Returns the id of the last part that other requests may share, or the only part's. */
     public String sharedKey() {
         if (parts.isEmpty()) {
--- a/forkseam-core/src/main/java/org/forkseam/core/traffic/TrafficConfig.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/traffic/TrafficConfig.java
@@ -1,6 +1,7 @@
 package org.forkseam.core.traffic;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -97,6 +98,11 @@
         return Optional.ofNullable(mPools.get(name));
     }
 
+    /** Returns all pools. */
+    public Collection<Pool> pools() {
+        return mPools.values();
+    }
+
     /** Finds the team that holds a key. */
     public Optional<Team> team(String key) {
         return Optional.ofNullable(mTeamsByKey.get(key));
--- a/forkseam-direct/src/main/java/org/forkseam/direct/DirectRouter.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/DirectRouter.java
@@ -8,7 +8,6 @@
 import org.forkseam.direct.flow.RouterService;
 import org.forkseam.direct.know.Knowledge;
 import org.forkseam.direct.spi.CallerProtocol;
-import org.forkseam.direct.spi.FleetSource;
 
 import java.util.concurrent.ExecutionException;
 import java.util.random.RandomGenerator;
@@ -40,10 +39,11 @@
             EventLoop loop,
             Clock clock,
             CallerProtocol protocol,
-            FleetSource source) {
+            Knowledge.Sources sources) {
         RandomGenerator random = new java.util.SplittableRandom(settings.host().hashCode());
         long listMillis = (long) (settings.bounds().leaveMillis() / READS_PER_LEAVE);
-        Knowledge knowledge = Knowledge.of(loop, clock, source, random, listMillis);
+        Knowledge knowledge =
+                Knowledge.of(loop, clock, sources, random, settings.host(), listMillis);
         RouterService router =
                 RouterService.of(
                         loop,
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -12,16 +12,19 @@
 import org.forkseam.core.member.Target;
 import org.forkseam.core.route.CandidateFilter;
 import org.forkseam.core.route.Pick;
+import org.forkseam.core.route.PickRequest;
 import org.forkseam.core.route.TargetPicker;
 import org.forkseam.core.traffic.Pool;
 import org.forkseam.core.traffic.Prompt;
 import org.forkseam.core.traffic.Route;
 import org.forkseam.core.traffic.Team;
 import org.forkseam.core.traffic.TrafficConfig;
+import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.Handover;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -55,6 +58,7 @@
     private boolean mMayHaveRun;
     private boolean mStreaming;
     private boolean mDone;
+    private Optional<String> mCopySource = Optional.empty();
     private String mLastId;
     private AttemptEnd mLastEnd = AttemptEnd.of(AttemptEnd.Kind.UNREACHABLE, "no target tried");
 
@@ -96,6 +100,7 @@
         mDeadline = mRequest.receivedMillis() + held - ANSWER_MARGIN_MILLIS;
         mContext.flows().add(this);
         mContext.budgets().pool(mPool).onRequest(mContext.now());
+        mContext.knowledge().seats().onRequest(mPool);
         attempt();
     }
 
@@ -107,7 +112,7 @@
                 mContext.placing()
                         .filter()
                         .of(mContext.knowledge().targets().pool(mPool), mTried, now);
-        Optional<Pick> pick = picker().pick(placementKey(), c.targets(), now);
+        Optional<Pick> pick = picker().pick(pickRequest(), c.targets(), now);
         if (pick.isEmpty()) {
             giveUp("no_target");
             return;
@@ -131,6 +136,15 @@
         return engine ? mContext.placing().engines() : mContext.placing().services();
     }
 
+    private PickRequest pickRequest() {
+        return new PickRequest(
+                placementKey(), sharedTokens(), mContext.knowledge().seats().table(mPool));
+    }
+
+    private long sharedTokens() {
+        return mRequest.head().prompt().map(Prompt::sharedTokens).orElse(0L);
+    }
+
     private String placementKey() {
         return mRequest.head().prompt().map(Prompt::sharedKey).orElse(mRequest.id());
     }
@@ -167,10 +181,26 @@
                                 Math.max(1, mDeadline - mContext.now()),
                                 mTeam.map(Team::name),
                                 priority,
-                                Optional.ofNullable(mLastId)));
+                                Optional.ofNullable(mLastId),
+                                copyFrom(t)));
         return r;
     }
 
+    /** Finds a target from which this one can copy the prompt it is not likely to have. */
+    private Optional<String> copyFrom(Target t) {
+        if (sharedTokens() == 0) {
+            return Optional.empty();
+        }
+        long now = mContext.now();
+        String key = placementKey();
+        List<String> order = mContext.knowledge().seats().table(mPool).order(Hashes.of(key));
+        mCopySource =
+                mContext.holders()
+                        .source(key, t, order, mContext.knowledge().targets(), now)
+                        .map(s -> s.entry().address());
+        return mCopySource;
+    }
+
     @Override
     public void onEnd(Attempt a, AttemptEnd end) {
         mAttempt = null;
@@ -309,6 +339,9 @@
     // ---------------------------------------------------------------- ending
 
     private void finishAnswered(Attempt a) {
+        if (sharedTokens() > 0) {
+            mContext.holders().onAnswered(placementKey(), a.target().entry().id(), mContext.now());
+        }
         if (mRoute.kind().isStream() && mStreaming) {
             finish("answered");
             mSink.end();
@@ -388,6 +421,9 @@
         Target t = mPick.target();
         e.with("pool", mPool)
                 .with("target", t.entry().id())
+                .with("key", placementKey())
+                .with("shared_tokens", sharedTokens())
+                .with("copy_from", mCopySource.orElse(""))
                 .with("pick", mPick.reason())
                 .with("rank", mPick.rank())
                 .with("load", mPick.load())
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.flow;
 
 import org.forkseam.core.route.CandidateFilter;
+import org.forkseam.core.route.HolderMemory;
 import org.forkseam.core.route.TargetPicker;
 import org.forkseam.core.util.Clock;
 import org.forkseam.direct.know.Knowledge;
@@ -21,6 +22,7 @@
     private final FlowCounters mCounters;
     private final Set<RequestFlow> mFlows = new LinkedHashSet<>();
     private final Set<CallerConnection> mConnections = new LinkedHashSet<>();
+    private final HolderMemory mHolders = HolderMemory.create();
     private boolean mLeaving;
 
     /**
@@ -78,6 +80,10 @@
         return mPlacing;
     }
 
+    HolderMemory holders() {
+        return mHolders;
+    }
+
     RepeatBudgets budgets() {
         return mBudgets;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -47,7 +47,7 @@
     private static final long STOP_MARGIN_MILLIS = 400;
 
     /** Share of the pool's mean that a home may carry before requests spill. Origin: rounds. */
-    private static final double HOME_SHARE_OF_CAP = 0.75;
+    private static final double HOME_SHARE_OF_CAP = 1.0;
 
     private static final int HOME_MARGIN = 2;
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpCalls.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpCalls.java
@@ -52,7 +52,12 @@
      * @param status the status code
      * @param body the whole body
      */
-    public record Reply(int status, byte[] body) {}
+    public record Reply(int status, byte[] body) {
+        /** Returns a reply with another status. */
+        public Reply withStatus(int other) {
+            return new Reply(other, body);
+        }
+    }
 
     /** Makes a call; the future fails with an {@link IOException} when no whole reply came. */
     public CompletableFuture<Reply> call(
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -10,6 +10,7 @@
 import org.forkseam.core.util.Clock;
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.FleetSource;
+import org.forkseam.direct.spi.SharedRows;
 import org.forkseam.direct.spi.SourceException;
 import org.forkseam.direct.spi.Versioned;
 
@@ -45,6 +46,7 @@
     private final RandomGenerator mRandom;
     private final long mListMillis;
     private final TargetDirectory mTargets = TargetDirectory.create();
+    private final Seats mSeats;
     private final Backoff mConfigBackoff = new Backoff();
     private final Backoff mListBackoff = new Backoff();
     private TrafficConfig mConfig = TrafficConfig.none();
@@ -55,27 +57,43 @@
     private boolean mDown;
     private boolean mStopped;
 
+    /**
+     * Holds where knowledge comes from.
+     *
+     * @param fleet configuration and targets
+     * @param shared rows that routers share
+     */
+    public record Sources(FleetSource fleet, SharedRows shared) {}
+
     private Knowledge(
-            EventLoop loop, Clock clock, FleetSource source, RandomGenerator random, long listMs) {
+            EventLoop loop,
+            Clock clock,
+            Sources sources,
+            RandomGenerator random,
+            String host,
+            long listMs) {
         mLoop = loop;
         mClock = clock;
-        mSource = source;
+        mSource = sources.fleet();
         mRandom = random;
         mListMillis = listMs;
+        mSeats = new Seats(loop, clock, sources.shared(), random, host, mTargets);
     }
 
     /**
      * Creates the service.
      *
+     * @param host name of this router's host
      * @param listMillis pause between two reads of the list of targets
      */
     public static Knowledge of(
             EventLoop loop,
             Clock clock,
-            FleetSource source,
+            Sources sources,
             RandomGenerator random,
+            String host,
             long listMillis) {
-        return new Knowledge(loop, clock, source, random, listMillis);
+        return new Knowledge(loop, clock, sources, random, host, listMillis);
     }
 
     // ---------------------------------------------------------------- life-cycle
@@ -89,12 +107,22 @@
     public CompletableFuture<Void> start() {
         mLoop.execute(this::readConfig);
         mLoop.execute(this::readList);
+        mLoop.execute(mSeats::start);
+        mLoop.scheduleWithFixedDelay(
+                () -> mSeats.plan(mConfig),
+                mSeats.planMillis(),
+                mSeats.planMillis(),
+                TimeUnit.MILLISECONDS);
         return CompletableFuture.completedFuture(null);
     }
 
     @Override
     public CompletableFuture<Void> stop() {
-        mLoop.execute(() -> mStopped = true);
+        mLoop.execute(
+                () -> {
+                    mStopped = true;
+                    mSeats.stop();
+                });
         return CompletableFuture.completedFuture(null);
     }
 
@@ -124,6 +152,11 @@
         return mTargets;
     }
 
+    /** Returns the seats of engine pools. */
+    public Seats seats() {
+        return mSeats;
+    }
+
     /** Returns whether there is enough to serve callers: a configuration and a list of targets. */
     public boolean isComplete() {
         return mConfig.isKnown() && mListed;
--- /dev/null
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
@@ -0,0 +1,226 @@
+package org.forkseam.direct.know;
+
+import io.netty.channel.EventLoop;
+
+import org.forkseam.core.member.TargetDirectory;
+import org.forkseam.core.route.SeatPlanner;
+import org.forkseam.core.route.SeatTable;
+import org.forkseam.core.traffic.Pool;
+import org.forkseam.core.traffic.TrafficConfig;
+import org.forkseam.core.util.Clock;
+import org.forkseam.direct.log.Event;
+import org.forkseam.direct.spi.SharedRow;
+import org.forkseam.direct.spi.SharedRows;
+import org.forkseam.direct.spi.Versioned;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * Keeps the seats of engine pools, and the names of the other routers, in rows that all routers
+ * share. Any router proposes a change by compare-and-set; none is set aside for it. Used on the
+ * event loop.
+ *
+ * @since 0.2
+ */
+public final class Seats {
+    /** Changes are told at once; a wait is begun anew after so long to notice a lost one. */
+    private static final long WAIT_MILLIS = 5_000;
+
+    private static final long RETRY_MILLIS = 700;
+
+    /** The pool is looked at so often. */
+    private static final long PLAN_MILLIS = 400;
+
+    /** A pool without a request for so long is idle. */
+    private static final long IDLE_MILLIS = 5_000;
+
+    private static final String SEATS = "seats/";
+    private static final String ROUTER = "router/";
+
+    private final EventLoop mLoop;
+    private final Clock mClock;
+    private final SharedRows mRows;
+    private final RandomGenerator mRandom;
+    private final String mHost;
+    private final TargetDirectory mTargets;
+    private final Map<String, SeatTable> mTables = new HashMap<>();
+    private final Map<String, Long> mRevisions = new HashMap<>();
+    private final Map<String, SeatPlanner> mPlanners = new HashMap<>();
+    private final Map<String, Long> mLastRequest = new HashMap<>();
+    private final Set<String> mRouters = new HashSet<>();
+    private final long mStarted;
+    private long mRevision;
+    private boolean mRead;
+    private boolean mProposing;
+    private boolean mStopped;
+
+    Seats(
+            EventLoop loop,
+            Clock clock,
+            SharedRows rows,
+            RandomGenerator random,
+            String host,
+            TargetDirectory targets) {
+        mLoop = loop;
+        mClock = clock;
+        mRows = rows;
+        mRandom = random;
+        mHost = host;
+        mTargets = targets;
+        mStarted = clock.nowMillis();
+    }
+
+    // ---------------------------------------------------------------- use
+
+    /** Returns the seats of a pool. */
+    public SeatTable table(String pool) {
+        return mTables.getOrDefault(pool, SeatTable.empty());
+    }
+
+    /** Notes a request for a pool. */
+    public void onRequest(String pool) {
+        mLastRequest.put(pool, mClock.nowMillis());
+    }
+
+    /** Returns the number of routers known, at least this one. */
+    public int routers() {
+        return Math.max(1, mRouters.size());
+    }
+
+    // ---------------------------------------------------------------- following
+
+    void start() {
+        readAll();
+        mRows.put(ROUTER + mHost, mHost).exceptionally(e -> logFailure("register", e));
+        mLoop.schedule(this::registerAgain, WAIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Removes this router's name, so that the others reckon with one router less. */
+    void stop() {
+        mStopped = true;
+        mRows.remove(ROUTER + mHost).exceptionally(e -> logFailure("unregister", e));
+    }
+
+    private void registerAgain() {
+        if (!mStopped && !mRouters.contains(mHost)) {
+            mRows.put(ROUTER + mHost, mHost).exceptionally(e -> logFailure("register", e));
+            mLoop.schedule(this::registerAgain, WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void readAll() {
+        if (!mStopped) {
+            mRows.readAll().whenComplete(this::onRows);
+        }
+    }
+
+    private void await() {
+        if (!mStopped) {
+            mRows.awaitChanges(mRevision, WAIT_MILLIS).whenComplete(this::onRows);
+        }
+    }
+
+    private void onRows(Versioned<List<SharedRow>> read, Throwable failure) {
+        if (failure != null) {
+            mLoop.schedule(this::readAll, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        mRead = true;
+        mRevision = Math.max(mRevision, read.revision());
+        read.value().forEach(this::take);
+        await();
+    }
+
+    private void take(SharedRow row) {
+        if (row.key().startsWith(ROUTER)) {
+            takeRouter(row);
+            return;
+        }
+        if (!row.key().startsWith(SEATS) || row.revision() == 0) {
+            return;
+        }
+        String pool = row.key().substring(SEATS.length());
+        if (row.revision() <= mRevisions.getOrDefault(pool, 0L)) {
+            return;
+        }
+        mRevisions.put(pool, row.revision());
+        SeatTable table = SeatTable.of(Arrays.asList(row.value().split(",")));
+        if (!table.equals(mTables.put(pool, table))) {
+            Event.always("seats")
+                    .with("pool", pool)
+                    .with("revision", row.revision())
+                    .with("holders", table)
+                    .log();
+        }
+    }
+
+    private void takeRouter(SharedRow row) {
+        String name = row.key().substring(ROUTER.length());
+        if (row.value().isEmpty()) {
+            mRouters.remove(name);
+        } else {
+            mRouters.add(name);
+        }
+    }
+
+    // ---------------------------------------------------------------- proposing
+
+    /** Looks whether a pool's seats should change, and proposes it after a random moment. */
+    void plan(TrafficConfig config) {
+        long now = mClock.nowMillis();
+        if (!mRead || mProposing || mStopped) {
+            return;
+        }
+        for (Pool p : config.pools()) {
+            if (p.engine() && next(p.name(), now).isPresent()) {
+                mProposing = true;
+                long pause = mRandom.nextLong(PLAN_MILLIS);
+                mLoop.schedule(() -> propose(p.name()), pause, TimeUnit.MILLISECONDS);
+                return;
+            }
+        }
+    }
+
+    long planMillis() {
+        return PLAN_MILLIS;
+    }
+
+    private Optional<SeatTable> next(String pool, long now) {
+        SeatPlanner planner = mPlanners.computeIfAbsent(pool, p -> SeatPlanner.create());
+        long last = Math.max(mStarted, mLastRequest.getOrDefault(pool, mStarted));
+        boolean idle = now - last > IDLE_MILLIS;
+        return planner.next(table(pool), mTargets.pool(pool), idle, now);
+    }
+
+    private void propose(String pool) {
+        Optional<SeatTable> next = next(pool, mClock.nowMillis());
+        if (next.isEmpty() || mStopped) {
+            mProposing = false;
+            return;
+        }
+        String value = String.join(",", next.get().holders());
+        mRows.compareAndSet(SEATS + pool, value, mRevisions.getOrDefault(pool, 0L))
+                .whenComplete(
+                        (row, failure) -> {
+                            mProposing = false;
+                            if (failure == null) {
+                                take(row);
+                            } else {
+                                logFailure("seats", failure);
+                            }
+                        });
+    }
+
+    private Void logFailure(String what, Throwable e) {
+        Event.of("shared_row_not_written").with("row", what).with("cause", e.getMessage()).log();
+        return null;
+    }
+}
--- a/forkseam-direct/src/main/java/org/forkseam/direct/spi/Handover.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/spi/Handover.java
@@ -10,6 +10,7 @@
  * @param team the team the caller belongs to
  * @param priority rank, 0 is the most urgent
  * @param lastEventId event after which the stream is to go on
+ * @param copyFrom address of a target from which the prompt is to be copied, IP:PORT
  * @since 0.2
  */
 public record Handover(
@@ -17,4 +18,5 @@
         long waitMillis,
         Optional<String> team,
         int priority,
-        Optional<String> lastEventId) {}
+        Optional<String> lastEventId,
+        Optional<String> copyFrom) {}
--- /dev/null
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/spi/SharedRows.java
@@ -0,0 +1,32 @@
+package org.forkseam.direct.spi;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Is where routers keep the little that they share and that must outlast them. Futures complete on
+ * the event loop and fail with a {@link SourceException} when no usable answer came.
+ *
+ * @since 0.2
+ */
+public interface SharedRows {
+    /** Reads all rows. */
+    CompletableFuture<Versioned<List<SharedRow>>> readAll();
+
+    /** Waits for rows changed since a revision. */
+    CompletableFuture<Versioned<List<SharedRow>>> awaitChanges(long revision, long waitMillis);
+
+    /**
+     * Writes a row if it still has the revision given, and returns the row as it then is: the one
+     * written, or another router's.
+     *
+     * @param revision the row's revision when read; 0 if it must be absent
+     */
+    CompletableFuture<SharedRow> compareAndSet(String key, String value, long revision);
+
+    /** Writes a row whatever it holds. */
+    CompletableFuture<Void> put(String key, String value);
+
+    /** Removes a row. */
+    CompletableFuture<Void> remove(String key);
+}
