--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
@@ -23,6 +23,12 @@
      */
     private static final long LAPSED_BACK_MILLIS = 2_100;
 
+    /**
+     * Entries lapse after three heartbeats without a word, so that none lapses by an outage that is
+     * much shorter. Origin: heartbeats of about a second.
+     */
+    private static final long SHORTEST_LAPSE_MILLIS = 2_000;
+
     private final Map<String, Target> mById = new HashMap<>();
     private final Map<String, List<Target>> mByPool = new HashMap<>();
     private long mRevision = -1;
@@ -35,9 +41,11 @@
         return new TargetDirectory();
     }
 
-    /** Notes that the source answers again after an outage. */
-    public void onSourceBack(long nowMillis) {
-        mKeepMissingUntil = nowMillis + LAPSED_BACK_MILLIS;
+    /** Notes that the source answers again after it has given no answer for so long. */
+    public void onSourceBack(long nowMillis, long outageMillis) {
+        if (outageMillis >= SHORTEST_LAPSE_MILLIS) {
+            mKeepMissingUntil = nowMillis + LAPSED_BACK_MILLIS;
+        }
     }
 
     /**
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -39,6 +39,9 @@
     /** The final answer goes out so long before the caller stops waiting. */
     private static final long ANSWER_MARGIN_MILLIS = 60;
 
+    /** A request waits so long for a router that has just started; then it is refused. */
+    private static final long AWAIT_KNOWLEDGE_MILLIS = 600;
+
     /** Targets that were not reachable, after which a request is refused. */
     private static final int MAX_UNREACHABLE = 4;
 
@@ -71,12 +74,27 @@
     // ---------------------------------------------------------------- beginning
 
     void start() {
-        mConfig = mContext.knowledge().config();
-        if (!mConfig.isKnown()) {
+        mContext.flows().add(this);
+        if (mContext.knowledge().isComplete()) {
+            enter();
+        }
+    }
+
+    /** Begins, or goes on waiting for a router that has just started to learn what it needs. */
+    private void awaitKnowledge(long now) {
+        if (mContext.knowledge().isComplete()) {
+            enter();
+            return;
+        }
+        if (now - mRequest.receivedMillis() > AWAIT_KNOWLEDGE_MILLIS) {
+            mConfig = mContext.knowledge().config();
             finishOwn(
                     "no_config", mContext.answers().notRun(mRequest.id(), "no configuration", 500));
-            return;
         }
+    }
+
+    private void enter() {
+        mConfig = mContext.knowledge().config();
         Gate.Verdict verdict = Gate.check(mConfig, mRequest);
         if (verdict instanceof Gate.Passed p) {
             admit(p);
@@ -98,7 +116,6 @@
         long wait = mRequest.head().waitMillis().orElse(Long.MAX_VALUE);
         long held = Math.min(wait, mRoute.timeoutMillis());
         mDeadline = mRequest.receivedMillis() + held - ANSWER_MARGIN_MILLIS;
-        mContext.flows().add(this);
         mContext.budgets().pool(mPool).onRequest(mContext.now());
         mContext.knowledge().seats().onRequest(mPool);
         attempt();
@@ -292,6 +309,10 @@
         if (mDone) {
             return;
         }
+        if (mConfig == null) {
+            awaitKnowledge(now);
+            return;
+        }
         if (now >= mDeadline) {
             onDeadline();
             return;
@@ -407,7 +428,7 @@
                         .with("request", mRequest.id())
                         .with("route", mRoute == null ? "" : mRoute.name())
                         .with("team", mTeam.map(Team::name).orElse(""))
-                        .with("config", mConfig.version())
+                        .with("config", mConfig == null ? 0 : mConfig.version())
                         .with("sent", mSent)
                         .with("took_ms", took);
         addPick(e);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -250,8 +250,12 @@
     private void onAnswer() {
         if (mDown) {
             mDown = false;
-            mTargets.onSourceBack(mClock.nowMillis());
-            Event.always("store_back").with("config", mConfig.version()).log();
+            long now = mClock.nowMillis();
+            mTargets.onSourceBack(now, now - mListAt);
+            Event.always("store_back")
+                    .with("config", mConfig.version())
+                    .with("list_age_ms", now - mListAt)
+                    .log();
         }
     }
 
