--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -86,6 +86,11 @@
         mHeardAt = nowMillis;
     }
 
+    /** Returns whether the target has sent this router something lately. */
+    public boolean heardWithin(long millis, long nowMillis) {
+        return mHeardAt != 0 && nowMillis - mHeardAt < millis;
+    }
+
     /** Notes the whole load that the target told, requests running and waiting. */
     public void onLoad(int load, long nowMillis) {
         mOthers = Math.max(0, load - mInFlight);
--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
@@ -1,5 +1,7 @@
 package org.forkseam.core.member;
 
+import org.forkseam.core.util.BoundedMap;
+
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -29,8 +31,14 @@
      */
     private static final long SHORTEST_LAPSE_MILLIS = 2_000;
 
+    /** A target that left without a word serves on for about so long. Origin: the operators. */
+    private static final long LINGER_MILLIS = 2_000;
+
+    private static final int MAX_LINGERING = 64;
+
     private final Map<String, Target> mById = new HashMap<>();
     private final Map<String, List<Target>> mByPool = new HashMap<>();
+    private final BoundedMap<String, Lingering> mLingering = BoundedMap.byInsertion(MAX_LINGERING);
     private long mRevision = -1;
     private long mKeepMissingUntil = Long.MIN_VALUE;
 
@@ -65,7 +73,7 @@
             take(e).ifPresent(changes::add);
         }
         if (now >= mKeepMissingUntil) {
-            removeMissing(listed, changes);
+            removeMissing(listed, changes, now);
         }
         index();
         return changes;
@@ -84,12 +92,16 @@
                 : Optional.empty();
     }
 
-    private void removeMissing(Map<String, TargetEntry> listed, List<TargetChange> changes) {
+    private void removeMissing(
+            Map<String, TargetEntry> listed, List<TargetChange> changes, long now) {
         for (Target t : List.copyOf(mById.values())) {
             if (listed.containsKey(t.entry().id())) {
                 continue;
             }
             t.markGone();
+            if (!t.entry().leaving()) {
+                mLingering.put(t.entry().id(), new Lingering(t, now));
+            }
             mById.remove(t.entry().id());
             changes.add(new TargetChange(t.entry(), TargetChange.Kind.GONE));
         }
@@ -117,8 +129,27 @@
         return Optional.ofNullable(mById.get(id));
     }
 
+    /**
+     * Finds a target that still answers other targets: a listed one, or one that left without a
+     * word a moment ago and has answered this router since shortly before.
+     */
+    public Optional<Target> findReachable(String id, long nowMillis) {
+        Target listed = mById.get(id);
+        if (listed != null) {
+            return Optional.of(listed);
+        }
+        Lingering l = mLingering.get(id);
+        boolean recent = l != null && nowMillis - l.goneAt() < LINGER_MILLIS;
+        return recent && l.target().heardWithin(LINGER_MILLIS, nowMillis)
+                ? Optional.of(l.target())
+                : Optional.empty();
+    }
+
     /** Returns the revision of the newest list taken, or -1. */
     public long revision() {
         return mRevision;
     }
+
+    /** Holds a target that is not listed any more. */
+    private record Lingering(Target target, long goneAt) {}
 }
--- a/forkseam-core/src/main/java/org/forkseam/core/outcome/WindowBudget.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/outcome/WindowBudget.java
@@ -22,7 +22,8 @@
     private WindowBudget(double share, double allowance, long windowMillis) {
         mShare = share;
         mAllowance = allowance;
-        mBucketMillis = Math.max(1, windowMillis / BUCKETS);
+        // One bucket is always partly filled: the others alone must span the window.
+        mBucketMillis = Math.max(1, (windowMillis + BUCKETS - 2) / (BUCKETS - 1));
     }
 
     /**
--- a/forkseam-core/src/main/java/org/forkseam/core/route/HolderMemory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/HolderMemory.java
@@ -45,12 +45,12 @@
     /**
      * Returns the target to copy a prompt from, or empty if the target chosen is likely to have it.
      *
-     * @param order targets in the order in which the key prefers them
+     * @param likely ids of targets that are likely to have it, the likeliest first
      */
     public Optional<Target> source(
             String key,
             Target chosen,
-            List<String> order,
+            List<String> likely,
             TargetDirectory directory,
             long nowMillis) {
         BoundedMap<String, Long> holders = mByKey.get(key);
@@ -64,7 +64,7 @@
                 return known;
             }
         }
-        return firstInOrder(order, chosen, directory, nowMillis);
+        return firstReachable(likely, chosen, directory, nowMillis);
     }
 
     private static Optional<Target> newest(
@@ -72,7 +72,7 @@
         Target best = null;
         long bestAt = nowMillis - KEPT_MILLIS;
         for (Map.Entry<String, Long> h : holders.entrySet()) {
-            Optional<Target> t = directory.find(h.getKey());
+            Optional<Target> t = directory.findReachable(h.getKey(), nowMillis);
             if (h.getValue() > bestAt && t.isPresent() && isGood(t.get(), chosen, nowMillis)) {
                 best = t.get();
                 bestAt = h.getValue();
@@ -81,14 +81,13 @@
         return Optional.ofNullable(best);
     }
 
-    /** Other routers send a key to the first in its order, so that one is likely to have it. */
-    private static Optional<Target> firstInOrder(
-            List<String> order, Target chosen, TargetDirectory directory, long nowMillis) {
-        for (String id : order) {
+    private static Optional<Target> firstReachable(
+            List<String> likely, Target chosen, TargetDirectory directory, long nowMillis) {
+        for (String id : likely) {
             if (id.equals(chosen.entry().id())) {
                 return Optional.empty();
             }
-            Optional<Target> t = directory.find(id);
+            Optional<Target> t = directory.findReachable(id, nowMillis);
             if (t.isPresent() && isGood(t.get(), chosen, nowMillis)) {
                 return t;
             }
--- /dev/null
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/HolderMemoryTest.java
@@ -0,0 +1,73 @@
+package org.forkseam.core.route;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.forkseam.core.member.Target;
+import org.forkseam.core.member.TargetDirectory;
+import org.forkseam.core.member.TargetEntry;
+import org.junit.jupiter.api.Test;
+
+import java.util.List;
+import java.util.Optional;
+
+/** Tests from which target a prompt is copied. */
+class HolderMemoryTest {
+    private final HolderMemory mMemory = HolderMemory.create();
+    private final TargetDirectory mDirectory = TargetDirectory.create();
+
+    HolderMemoryTest() {
+        mDirectory.apply(1, List.of(entry("a"), entry("b"), entry("c")), 0);
+    }
+
+    private static TargetEntry entry(String id) {
+        return new TargetEntry(id, "pool", "10.0.0.1:1", "z", 8, false);
+    }
+
+    private Target target(String id) {
+        return mDirectory.find(id).orElseThrow();
+    }
+
+    private Optional<String> source(String chosen, long now, String... likely) {
+        return mMemory.source("k", target(chosen), List.of(likely), mDirectory, now)
+                .map(t -> t.entry().id());
+    }
+
+    @Test
+    void aTargetThatHasServedTheKeyCopiesNothing() {
+        mMemory.onAnswered("k", "a", 0);
+        assertThat(source("a", 100, "b", "a")).isEqualTo(Optional.empty());
+    }
+
+    @Test
+    void theNewestKnownHolderIsTheSource() {
+        mMemory.onAnswered("k", "a", 10);
+        mMemory.onAnswered("k", "b", 20);
+        assertThat(source("c", 100, "c", "a")).isEqualTo(Optional.of("b"));
+    }
+
+    @Test
+    void aHomeThatWasAlwaysHomeCopiesNothing() {
+        assertThat(source("a", 100, "a", "b")).isEqualTo(Optional.empty());
+    }
+
+    @Test
+    void aSpillCopiesFromTheHome() {
+        assertThat(source("c", 100, "a", "b", "c")).isEqualTo(Optional.of("a"));
+    }
+
+    @Test
+    void aSickHomeIsNoSource() {
+        target("a").health().onFailure(90);
+        target("a").health().onFailure(91);
+        assertThat(source("c", 100, "a", "b", "c")).isEqualTo(Optional.of("b"));
+    }
+
+    @Test
+    void aTargetThatLeftWithoutAWordIsASourceForAMoment() {
+        mMemory.onAnswered("k", "a", 10);
+        target("a").onHeard(1_000);
+        mDirectory.apply(2, List.of(entry("b"), entry("c")), 1_500);
+        assertThat(source("c", 2_000, "c")).isEqualTo(Optional.of("a"));
+        assertThat(source("c", 9_000, "c")).isEqualTo(Optional.empty());
+    }
+}
--- /dev/null
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/HomePickerTest.java
@@ -0,0 +1,66 @@
+package org.forkseam.core.route;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+import org.forkseam.core.member.Target;
+import org.junit.jupiter.api.Test;
+
+import java.util.List;
+
+/** Tests the choice of an engine. */
+class HomePickerTest {
+    private static final double MULTIPLE = 2;
+    private static final int MARGIN = 2;
+
+    private final HomePicker mPicker = HomePicker.of(MULTIPLE, MARGIN);
+
+    private static PickRequest request(String key, long sharedTokens) {
+        return new PickRequest(key, sharedTokens, SeatTable.empty());
+    }
+
+    @Test
+    void sameKeyGoesToTheSameTarget() {
+        List<Target> pool = Targets.ready(8);
+        Target first = mPicker.pick(request("k", 100), pool, 0).orElseThrow().target();
+        assertThat(mPicker.pick(request("k", 100), pool, 5).orElseThrow().target())
+                .isSameInstanceAs(first);
+    }
+
+    @Test
+    void noCandidatesGiveNoChoice() {
+        assertThat(mPicker.pick(request("k", 0), List.of(), 0).isPresent()).isFalse();
+    }
+
+    @Test
+    void manyTokensStayAtHomeWhereFewSpill() {
+        List<Target> pool = Targets.ready(4);
+        pool.forEach(t -> Targets.load(t, 10));
+        Target home = mPicker.pick(request("k", 10_000), pool, 0).orElseThrow().target();
+        Targets.load(home, 14); // 24 of a mean of 13.5: between 0.85 and 1 of twice the mean
+        assertThat(mPicker.pick(request("k", 10_000), pool, 0).orElseThrow().reason())
+                .isEqualTo(Pick.Reason.HOME);
+        Targets.load(home, 2);
+        assertThat(mPicker.pick(request("k", 100), pool, 0).orElseThrow().reason())
+                .isEqualTo(Pick.Reason.SPILL);
+    }
+
+    @Property(tries = 300)
+    void neverPicksOneOverTheBoundWhileAnotherIsBelow(
+            @ForAll @Size(min = 1, max = 12) List<@IntRange(max = 60) Integer> loads,
+            @ForAll @IntRange(max = 100_000) int key) {
+        List<Target> pool = Targets.ready(loads.size());
+        int total = 0;
+        for (int i = 0; i < loads.size(); i++) {
+            Targets.load(pool.get(i), loads.get(i));
+            total += loads.get(i);
+        }
+        Pick p = mPicker.pick(request("k" + key, 10_000), pool, 0).orElseThrow();
+        double bound = MULTIPLE * total / loads.size() + MARGIN;
+        assertThat((double) p.load()).isLessThan(bound);
+    }
+}
--- a/forkseam-direct/src/main/java/org/forkseam/direct/DirectRouter.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/DirectRouter.java
@@ -9,6 +9,7 @@
 import org.forkseam.direct.know.Knowledge;
 import org.forkseam.direct.spi.CallerProtocol;
 
+import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.random.RandomGenerator;
 
@@ -70,6 +71,11 @@
         mKernel.stop();
     }
 
+    /** Returns what each service shows of itself, by name. */
+    public Map<String, Object> dump() {
+        return mKernel.dump();
+    }
+
     /** Returns whether it serves callers. */
     public boolean isReady() {
         return mRouter.isReady();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -210,10 +210,10 @@
         }
         long now = mContext.now();
         String key = placementKey();
-        List<String> order = mContext.knowledge().seats().table(mPool).order(Hashes.of(key));
+        List<String> likely = mContext.knowledge().seats().likelyHolders(mPool, Hashes.of(key));
         mCopySource =
                 mContext.holders()
-                        .source(key, t, order, mContext.knowledge().targets(), now)
+                        .source(key, t, likely, mContext.knowledge().targets(), now)
                         .map(s -> s.entry().address());
         return mCopySource;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
@@ -7,12 +7,14 @@
 import org.forkseam.core.route.SeatTable;
 import org.forkseam.core.traffic.Pool;
 import org.forkseam.core.traffic.TrafficConfig;
+import org.forkseam.core.util.BoundedMap;
 import org.forkseam.core.util.Clock;
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.SharedRow;
 import org.forkseam.direct.spi.SharedRows;
 import org.forkseam.direct.spi.Versioned;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -42,6 +44,10 @@
     /** A pool without a request for so long is idle. */
     private static final long IDLE_MILLIS = 5_000;
 
+    /** Targets after the first in a key's order that serve the key while the first is away. */
+    private static final int NEXT_IN_ORDER = 2;
+
+    private static final int MAX_PREVIOUS = 256;
     private static final String SEATS = "seats/";
     private static final String ROUTER = "router/";
 
@@ -55,6 +61,7 @@
     private final Map<String, Long> mRevisions = new HashMap<>();
     private final Map<String, SeatPlanner> mPlanners = new HashMap<>();
     private final Map<String, Long> mLastRequest = new HashMap<>();
+    private final Map<String, String> mPrevious = BoundedMap.byInsertion(MAX_PREVIOUS);
     private final Set<String> mRouters = new HashSet<>();
     private final long mStarted;
     private long mRevision;
@@ -85,6 +92,23 @@
         return mTables.getOrDefault(pool, SeatTable.empty());
     }
 
+    /**
+     * Returns the targets that are likely to have read the prompt of a key, the likeliest first.
+     * That is the first in the key's order; if that one has taken its seat from another, it is the
+     * other, or those next in the order, which served the key while the seat was vacant.
+     */
+    public List<String> likelyHolders(String pool, long keyHash) {
+        List<String> order = table(pool).order(keyHash);
+        String previous = order.isEmpty() ? null : mPrevious.get(order.get(0));
+        if (previous == null) {
+            return order;
+        }
+        List<String> likely = new ArrayList<>(order);
+        likely.add(Math.min(NEXT_IN_ORDER, likely.size() - 1), likely.remove(0));
+        likely.add(0, previous);
+        return likely;
+    }
+
     /** Notes a request for a pool. */
     public void onRequest(String pool) {
         mLastRequest.put(pool, mClock.nowMillis());
@@ -153,7 +177,10 @@
         }
         mRevisions.put(pool, row.revision());
         SeatTable table = SeatTable.of(Arrays.asList(row.value().split(",")));
-        if (!table.equals(mTables.put(pool, table))) {
+        SeatTable before = table(pool);
+        mTables.put(pool, table);
+        if (!table.equals(before)) {
+            notePrevious(before, table);
             Event.always("seats")
                     .with("pool", pool)
                     .with("revision", row.revision())
@@ -162,6 +189,17 @@
         }
     }
 
+    private void notePrevious(SeatTable before, SeatTable after) {
+        int both = Math.min(before.holders().size(), after.holders().size());
+        for (int i = 0; i < both; i++) {
+            String old = before.holders().get(i);
+            String now = after.holders().get(i);
+            if (!old.equals(now)) {
+                mPrevious.put(now, old);
+            }
+        }
+    }
+
     private void takeRouter(SharedRow row) {
         String name = row.key().substring(ROUTER.length());
         if (row.value().isEmpty()) {
--- /dev/null
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
@@ -0,0 +1,170 @@
+package org.forkseam.direct;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Is a target whose every answer is a script of bytes, so that tests can send what no library
+ * would. Each connection has a thread of its own.
+ */
+public final class ScriptedServer implements AutoCloseable {
+    /** Answers one request of a connection. */
+    public interface Script {
+        /** Writes whatever it likes; returns whether the connection goes on. */
+        boolean answer(Request request, Wire wire) throws IOException, InterruptedException;
+    }
+
+    /** Holds a request that came. */
+    public record Request(int number, String head, String body) {
+        /** Returns a header's value, or an empty text. */
+        public String header(String name) {
+            for (String line : head.split("\r\n")) {
+                if (line.toLowerCase().startsWith(name.toLowerCase() + ":")) {
+                    return line.substring(name.length() + 1).strip();
+                }
+            }
+            return "";
+        }
+
+        /** Returns the method. */
+        public String method() {
+            return head.split(" ")[0];
+        }
+    }
+
+    /** Is the connection as a script sees it. */
+    public static final class Wire {
+        private final Socket mSocket;
+
+        Wire(Socket socket) {
+            mSocket = socket;
+        }
+
+        /** Sends text as it is. */
+        public void send(String text) throws IOException {
+            OutputStream out = mSocket.getOutputStream();
+            out.write(text.getBytes(StandardCharsets.UTF_8));
+            out.flush();
+        }
+
+        /** Ends the connection by a reset. */
+        public void reset() throws IOException {
+            mSocket.setSoLinger(true, 0);
+            mSocket.close();
+        }
+
+        /** Waits until the other side closes; returns whether it did within the time. */
+        public boolean awaitClose(int millis) throws IOException {
+            mSocket.setSoTimeout(millis);
+            try {
+                return mSocket.getInputStream().read() < 0;
+            } catch (java.net.SocketTimeoutException e) {
+                return false;
+            } catch (IOException e) {
+                return true; // reset by the other side
+            }
+        }
+    }
+
+    private final ServerSocket mListener = new ServerSocket();
+    private final Script mScript;
+    private final AtomicInteger mRequests = new AtomicInteger();
+    private final List<Request> mSeen = new CopyOnWriteArrayList<>();
+    private final List<Socket> mOpen = new CopyOnWriteArrayList<>();
+
+    private ScriptedServer(Script script) throws IOException {
+        mScript = script;
+        mListener.bind(new InetSocketAddress("127.0.0.1", 0));
+        Thread t = new Thread(this::accept, "scripted");
+        t.setDaemon(true);
+        t.start();
+    }
+
+    /** Starts a server. */
+    public static ScriptedServer of(Script script) throws IOException {
+        return new ScriptedServer(script);
+    }
+
+    /** Returns a whole answer with a length. */
+    public static String ok(Request r, String body) {
+        return "HTTP/1.1 200 OK\r\nRequest-Id: "
+                + r.header("Request-Id")
+                + "\r\nContent-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
+    }
+
+    /** Returns where it listens. */
+    public String address() {
+        return "127.0.0.1:" + mListener.getLocalPort();
+    }
+
+    /** Returns the requests that came, in order. */
+    public List<Request> seen() {
+        return mSeen;
+    }
+
+    private void accept() {
+        while (!mListener.isClosed()) {
+            try {
+                Socket s = mListener.accept();
+                mOpen.add(s);
+                Thread t = new Thread(() -> serve(s), "scripted-connection");
+                t.setDaemon(true);
+                t.start();
+            } catch (IOException e) {
+                return; // closed by the test
+            }
+        }
+    }
+
+    private void serve(Socket s) {
+        try (s) {
+            Wire wire = new Wire(s);
+            while (true) {
+                Request r = read(s.getInputStream());
+                mSeen.add(r);
+                if (!mScript.answer(r, wire)) {
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            return; // the router has closed the connection
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private Request read(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int b = in.read();
+            if (b < 0) {
+                throw new IOException("closed");
+            }
+            head.append((char) b);
+        }
+        Request r = new Request(0, head.toString(), "");
+        String length = r.header("Content-Length");
+        byte[] body = in.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
+        String text = new String(body, StandardCharsets.UTF_8);
+        return new Request(mRequests.incrementAndGet(), head.toString(), text);
+    }
+
+    @Override
+    public void close() throws IOException {
+        mListener.close();
+        for (Socket s : mOpen) {
+            s.close();
+        }
+    }
+}
--- /dev/null
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/io/EventSplitterTest.java
@@ -0,0 +1,59 @@
+package org.forkseam.direct.io;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+import org.junit.jupiter.api.Test;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+
+/** Tests that streams are cut at the borders of events. */
+class EventSplitterTest {
+    private static ByteBuf bytes(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+    }
+
+    private static String text(ByteBuf b) {
+        return b.toString(StandardCharsets.UTF_8);
+    }
+
+    @Property(tries = 300)
+    void whateverThePartsEventsStayWhole(
+            @ForAll @IntRange(min = 1, max = 8) int events,
+            @ForAll @Size(max = 20) List<@IntRange(min = 1, max = 30) Integer> cuts,
+            @ForAll boolean crlf) {
+        String nl = crlf ? "\r\n" : "\n";
+        StringBuilder all = new StringBuilder();
+        for (int i = 1; i <= events; i++) {
+            all.append("id: ").append(i).append(nl).append("data: x").append(i).append(nl + nl);
+        }
+        String stream = all + "id: 99" + nl + "da";
+        EventSplitter s = EventSplitter.create();
+        StringBuilder passed = new StringBuilder();
+        int at = 0;
+        for (int cut : cuts) {
+            int end = Math.min(stream.length(), at + cut);
+            passed.append(text(s.take(bytes(stream.substring(at, end)))));
+            assertThat(passed.length() == 0 || passed.toString().endsWith(nl + nl)).isTrue();
+            at = end;
+        }
+        passed.append(text(s.take(bytes(stream.substring(at)))));
+        assertThat(passed.toString()).isEqualTo(all.toString());
+        assertThat(s.isHolding()).isTrue();
+        assertThat(s.lastId()).isEqualTo(Optional.of("" + events));
+    }
+
+    @Test
+    void aStreamThatHasNotBegunHasNoId() {
+        assertThat(EventSplitter.create().lastId()).isEqualTo(Optional.empty());
+    }
+}
