Ask other routers while the store cannot be reached at the start

Cause: a router that starts while the store turns its host away knows no configuration and refuses everybody until the store is back.

--- a/forkseam-core/src/main/java/org/forkseam/core/traffic/TrafficConfig.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/traffic/TrafficConfig.java
@@ -1,7 +1,6 @@
 package org.forkseam.core.traffic;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -99,8 +98,18 @@
     }
 
     /** Returns all pools. */
-    public Collection<Pool> pools() {
-        return mPools.values();
+    public List<Pool> pools() {
+        return List.copyOf(mPools.values());
+    }
+
+    /** Returns all routes. */
+    public List<Route> routes() {
+        return mByHost.values().stream().flatMap(List::stream).toList();
+    }
+
+    /** Returns the teams by key. */
+    public Map<String, Team> teamsByKey() {
+        return mTeamsByKey;
     }
 
     /** Finds the team that holds a key. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/DirectRouter.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/DirectRouter.java
@@ -55,8 +55,13 @@
         AdminService admin =
                 AdminService.of(
                         loop,
-                        new AdminService.Addresses(settings.readiness(), settings.metrics()),
-                        new AdminService.Views(router::isReady, router.meters(), kernel::dump));
+                        new AdminService.Addresses(
+                                settings.readiness(), settings.metrics(), settings.peers()),
+                        new AdminService.Views(
+                                router::isReady,
+                                router.meters(),
+                                kernel::dump,
+                                knowledge::snapshot));
         kernel.add(knowledge).add(admin).add(router);
         return new DirectRouter(kernel, router);
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/RouterSettings.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/RouterSettings.java
@@ -11,6 +11,7 @@
  * @param callers where callers connect
  * @param readiness where the balancer asks whether it is ready
  * @param metrics where metrics and the state dump are served
+ * @param peers where other routers ask what this one knows, if anywhere
  * @param bounds times and shares to keep to
  * @since 0.2
  */
@@ -20,6 +21,7 @@
         InetSocketAddress callers,
         InetSocketAddress readiness,
         Optional<InetSocketAddress> metrics,
+        Optional<InetSocketAddress> peers,
         Bounds bounds) {
 
     /**
--- a/forkseam-direct/src/main/java/org/forkseam/direct/admin/AdminService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/admin/AdminService.java
@@ -60,6 +60,8 @@
     private final BooleanSupplier mReady;
     private final MeterBinder mMeters;
     private final Supplier<Object> mDump;
+    private final Optional<InetSocketAddress> mPeers;
+    private final Supplier<Optional<byte[]>> mSnapshot;
     private final List<Channel> mListeners = new ArrayList<>();
     private Optional<PrometheusMeterRegistry> mRegistry = Optional.empty();
     private boolean mWasReady;
@@ -71,13 +73,22 @@
         mReady = views.ready();
         mMeters = views.meters();
         mDump = views.dump();
+        mPeers = addresses.peers();
+        mSnapshot = views.snapshot();
     }
 
     /** Holds where questions are answered. */
-    public record Addresses(InetSocketAddress readiness, Optional<InetSocketAddress> metrics) {}
+    public record Addresses(
+            InetSocketAddress readiness,
+            Optional<InetSocketAddress> metrics,
+            Optional<InetSocketAddress> peers) {}
 
     /** Holds what the answers are made of. */
-    public record Views(BooleanSupplier ready, MeterBinder meters, Supplier<Object> dump) {}
+    public record Views(
+            BooleanSupplier ready,
+            MeterBinder meters,
+            Supplier<Object> dump,
+            Supplier<Optional<byte[]>> snapshot) {}
 
     /** Creates the service. */
     public static AdminService of(EventLoop loop, Addresses addresses, Views views) {
@@ -92,11 +103,11 @@
     @Override
     public CompletableFuture<Void> start() {
         mLoop.schedule(this::registry, REGISTRY_MILLIS, TimeUnit.MILLISECONDS);
-        CompletableFuture<Void> ready = listen(mReadiness, this::readiness);
-        if (mMetrics.isEmpty()) {
-            return ready;
-        }
-        return ready.thenCombine(listen(mMetrics.get(), this::figures), (a, b) -> null);
+        List<CompletableFuture<Void>> bound = new ArrayList<>();
+        bound.add(listen(mReadiness, this::readiness));
+        mMetrics.ifPresent(a -> bound.add(listen(a, this::figures)));
+        mPeers.ifPresent(a -> bound.add(listen(a, this::knowledge)));
+        return CompletableFuture.allOf(bound.toArray(new CompletableFuture<?>[0]));
     }
 
     @Override
@@ -172,6 +183,18 @@
                 : text(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready\n", "text/plain");
     }
 
+    private FullHttpResponse knowledge(String path) {
+        return mSnapshot
+                .get()
+                .map(b -> bytes(HttpResponseStatus.OK, b, "application/json"))
+                .orElseGet(
+                        () ->
+                                text(
+                                        HttpResponseStatus.SERVICE_UNAVAILABLE,
+                                        "knows nothing\n",
+                                        "text/plain"));
+    }
+
     private FullHttpResponse figures(String path) {
         if (!path.startsWith(DUMP_PATH)) {
             return text(HttpResponseStatus.OK, registry().scrape(), "text/plain; version=0.0.4");
@@ -198,11 +221,13 @@
     }
 
     private static FullHttpResponse text(HttpResponseStatus status, String text, String type) {
+        return bytes(status, text.getBytes(StandardCharsets.UTF_8), type);
+    }
+
+    private static FullHttpResponse bytes(HttpResponseStatus status, byte[] bytes, String type) {
         FullHttpResponse r =
                 new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        status,
-                        Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+                        HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(bytes));
         r.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
         r.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, r.content().readableBytes());
         return r;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 
 import org.forkseam.core.kernel.Service;
+import org.forkseam.core.member.Target;
 import org.forkseam.core.member.TargetChange;
 import org.forkseam.core.member.TargetDirectory;
 import org.forkseam.core.member.TargetEntry;
@@ -46,6 +47,7 @@
     private final RandomGenerator mRandom;
     private final long mListMillis;
     private final TargetDirectory mTargets = TargetDirectory.create();
+    private final PeerClient mPeers;
     private final Seats mSeats;
     private final Backoff mConfigBackoff = new Backoff();
     private final Backoff mListBackoff = new Backoff();
@@ -54,6 +56,7 @@
     private long mConfigAt;
     private long mListAt;
     private boolean mListed;
+    private boolean mAsking;
     private boolean mDown;
     private boolean mStopped;
 
@@ -62,8 +65,9 @@
      *
      * @param fleet configuration and targets
      * @param shared rows that routers share
+     * @param peers addresses of other routers, IP:PORT, asked while the store cannot be
      */
-    public record Sources(FleetSource fleet, SharedRows shared) {}
+    public record Sources(FleetSource fleet, SharedRows shared, List<String> peers) {}
 
     private Knowledge(
             EventLoop loop,
@@ -77,6 +81,7 @@
         mSource = sources.fleet();
         mRandom = random;
         mListMillis = listMs;
+        mPeers = PeerClient.of(loop, clock, sources.peers());
         mSeats = new Seats(loop, clock, sources.shared(), random, host, mTargets);
     }
 
@@ -209,6 +214,7 @@
         boolean historyGone = failure instanceof SourceException s && s.isHistoryGone();
         if (!historyGone) {
             onNoAnswer(failure);
+            askPeers();
         }
         later(mConfigBackoff.next(mRandom), this::readConfig);
     }
@@ -245,6 +251,40 @@
                 .log();
     }
 
+    // ---------------------------------------------------------------- other routers
+
+    /** Asks another router while this one knows too little to serve. */
+    private void askPeers() {
+        if (isComplete() || mAsking || !mPeers.hasPeers()) {
+            return;
+        }
+        mAsking = true;
+        mPeers.ask().whenComplete(this::onPeer);
+    }
+
+    private void onPeer(PeerSnapshot s, Throwable failure) {
+        mAsking = false;
+        if (failure != null) {
+            Event.of("peer_knows_nothing").with("cause", failure.getMessage()).log();
+            return;
+        }
+        offer(s.config(), "peer");
+        if (!s.targets().isEmpty()) {
+            mListed = true;
+            mTargets.apply(s.listRevision(), s.targets(), mClock.nowMillis())
+                    .forEach(this::logChange);
+        }
+    }
+
+    /** Returns what this router knows, for another; empty while it knows too little to serve. */
+    public Optional<byte[]> snapshot() {
+        if (!isComplete()) {
+            return Optional.empty();
+        }
+        List<TargetEntry> entries = mTargets.all().stream().map(Target::entry).toList();
+        return Optional.of(PeerSnapshot.of(mConfig, mTargets.revision(), entries).write());
+    }
+
     // ---------------------------------------------------------------- the source itself
 
     private void onAnswer() {
--- /dev/null
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerSnapshot.java
@@ -0,0 +1,87 @@
+package org.forkseam.direct.know;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import org.forkseam.core.member.TargetEntry;
+import org.forkseam.core.traffic.CallerLimits;
+import org.forkseam.core.traffic.Pool;
+import org.forkseam.core.traffic.Route;
+import org.forkseam.core.traffic.Team;
+import org.forkseam.core.traffic.TrafficConfig;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+
+/**
+ * Holds what one router knows, as it tells it to another that has just started and cannot reach the
+ * store.
+ *
+ * @param version of the configuration
+ * @param routes of the configuration
+ * @param pools of the configuration
+ * @param teams of the configuration, by key
+ * @param limits of the configuration
+ * @param listRevision of the list of targets
+ * @param targets the list
+ */
+record PeerSnapshot(
+        long version,
+        List<Route> routes,
+        List<Pool> pools,
+        Map<String, KeyTeam> teams,
+        CallerLimits limits,
+        long listRevision,
+        List<TargetEntry> targets) {
+
+    private static final int NO_PRIORITY = -1;
+
+    /**
+     * Holds a team in a form that the JSON library writes.
+     *
+     * @param name the team's name
+     * @param priority its rank, or -1
+     */
+    record KeyTeam(String name, int priority) {}
+
+    static PeerSnapshot of(TrafficConfig c, long listRevision, List<TargetEntry> targets) {
+        Map<String, KeyTeam> teams = new HashMap<>();
+        c.teamsByKey()
+                .forEach(
+                        (k, t) ->
+                                teams.put(
+                                        k,
+                                        new KeyTeam(t.name(), t.priority().orElse(NO_PRIORITY))));
+        return new PeerSnapshot(
+                c.version(), c.routes(), c.pools(), teams, c.limits(), listRevision, targets);
+    }
+
+    TrafficConfig config() {
+        Map<String, Team> byKey = new HashMap<>();
+        teams.forEach(
+                (k, t) -> {
+                    OptionalInt priority =
+                            t.priority() == NO_PRIORITY
+                                    ? OptionalInt.empty()
+                                    : OptionalInt.of(t.priority());
+                    byKey.put(k, new Team(t.name(), priority));
+                });
+        return TrafficConfig.of(version, routes, pools, byKey, limits);
+    }
+
+    byte[] write() {
+        try {
+            return new ObjectMapper().writeValueAsBytes(this);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a snapshot holds plain values only", e);
+        }
+    }
+
+    /** Reads a snapshot; fails if it is malformed. */
+    static PeerSnapshot read(byte[] json) throws IOException {
+        return new ObjectMapper().readValue(json, PeerSnapshot.class);
+    }
+}
