Let one router read the store for all

Done: a router tells the others in a datagram what it has read, by the store's own clock; who knows the same skips its next read, who does not reads at once, and who hears nothing reads for itself.

Ruled out: the store's revision as the measure of freshness; it stands still while only heartbeats are written, so notices were taken for old ones (found in a trial with a line a call).

--- a/forkseam-direct/src/main/java/org/forkseam/direct/DirectRouter.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/DirectRouter.java
@@ -20,7 +20,7 @@
  */
 public final class DirectRouter {
     /** Reads of the list of targets that fit into the time in which a leaving one is noticed. */
-    private static final double READS_PER_LEAVE = 2.4;
+    private static final double READS_PER_LEAVE = 2.5;
 
     private final Kernel mKernel;
     private final RouterService mRouter;
@@ -44,7 +44,13 @@
         RandomGenerator random = new java.util.SplittableRandom(settings.host().hashCode());
         long listMillis = (long) (settings.bounds().leaveMillis() / READS_PER_LEAVE);
         Knowledge knowledge =
-                Knowledge.of(loop, clock, sources, random, settings.host(), listMillis);
+                Knowledge.of(
+                        loop,
+                        clock,
+                        sources,
+                        random,
+                        new Knowledge.Self(settings.host(), settings.notices()),
+                        listMillis);
         RouterService router =
                 RouterService.of(
                         loop,
--- a/forkseam-direct/src/main/java/org/forkseam/direct/RouterSettings.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/RouterSettings.java
@@ -12,6 +12,7 @@
  * @param readiness where the balancer asks whether it is ready
  * @param metrics where metrics and the state dump are served
  * @param peers where other routers ask what this one knows, if anywhere
+ * @param notices where other routers send datagrams
  * @param bounds times and shares to keep to
  * @since 0.2
  */
@@ -22,6 +23,7 @@
         InetSocketAddress readiness,
         Optional<InetSocketAddress> metrics,
         Optional<InetSocketAddress> peers,
+        InetSocketAddress notices,
         Bounds bounds) {
 
     /**
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/EventSplitter.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/EventSplitter.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.io;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 
 import java.nio.charset.StandardCharsets;
@@ -63,14 +64,11 @@
         return b.getByte(b.readerIndex() + i);
     }
 
+    /** Keeps the events passed last; they are searched for an id only when one is asked for. */
     private void remember(ByteBuf whole) {
-        int n = whole.readableBytes();
-        if (n == 0) {
-            return;
+        if (whole.isReadable()) {
+            mLast = ByteBufUtil.getBytes(whole);
         }
-        int from = Math.max(0, endOfLastEvent(whole.slice(whole.readerIndex(), n - 1)));
-        mLast = new byte[n - from];
-        whole.getBytes(whole.readerIndex() + from, mLast);
     }
 
     /** Returns whether bytes of an unfinished event are held back. */
@@ -92,9 +90,10 @@
 
     /** Returns the id of the last whole event passed. */
     public Optional<String> lastId() {
-        for (String line : new String(mLast, StandardCharsets.UTF_8).split("\r?\n")) {
-            if (line.startsWith(ID)) {
-                return Optional.of(line.substring(ID.length()).strip());
+        String[] lines = new String(mLast, StandardCharsets.UTF_8).split("\r?\n");
+        for (int i = lines.length - 1; i >= 0; i--) {
+            if (lines[i].startsWith(ID)) {
+                return Optional.of(lines[i].substring(ID.length()).strip());
             }
         }
         return Optional.empty();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -9,12 +9,15 @@
 import org.forkseam.core.member.TargetEntry;
 import org.forkseam.core.traffic.TrafficConfig;
 import org.forkseam.core.util.Clock;
+import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.FleetSource;
 import org.forkseam.direct.spi.SharedRows;
 import org.forkseam.direct.spi.SourceException;
 import org.forkseam.direct.spi.Versioned;
 
+import java.net.InetSocketAddress;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -38,6 +41,14 @@
      */
     private static final long WAIT_MILLIS = 1_000;
 
+    /**
+     * Another router that waits for configurations is heard each second; this allows for one loss.
+     */
+    private static final long HEARD_MILLIS = 1_150;
+
+    /** Routers read at random moments in such a span, so that mostly one reads for all. */
+    private static final long SPREAD_MILLIS = 250;
+
     private static final long FIRST_BACKOFF_MILLIS = 100;
     private static final long MAX_BACKOFF_MILLIS = 500;
 
@@ -47,6 +58,8 @@
     private final RandomGenerator mRandom;
     private final long mListMillis;
     private final TargetDirectory mTargets = TargetDirectory.create();
+    private final Self mSelf;
+    private final PeerChannel mChannel;
     private final PeerClient mPeers;
     private final Seats mSeats;
     private final Backoff mConfigBackoff = new Backoff();
@@ -56,6 +69,12 @@
     private long mConfigAt;
     private long mListAt;
     private boolean mListed;
+    private long mConfigHeardAt = Long.MIN_VALUE / 2;
+    private long mConfigReadAt = Long.MIN_VALUE;
+    private long mListReadAt = Long.MIN_VALUE;
+    private long mSourceOffset;
+    private long mListFingerprint;
+    private boolean mReadingList;
     private boolean mAsking;
     private boolean mDown;
     private boolean mStopped;
@@ -69,26 +88,47 @@
      */
     public record Sources(FleetSource fleet, SharedRows shared, List<String> peers) {}
 
+    /**
+     * Names this router to the others.
+     *
+     * @param host name of its host
+     * @param notices where it takes notices of other routers
+     */
+    public record Self(String host, InetSocketAddress notices) {
+        private String text() {
+            return notices.getAddress().getHostAddress() + ":" + notices.getPort();
+        }
+    }
+
     private Knowledge(
             EventLoop loop,
             Clock clock,
             Sources sources,
             RandomGenerator random,
-            String host,
+            Self self,
             long listMs) {
         mLoop = loop;
         mClock = clock;
         mSource = sources.fleet();
         mRandom = random;
         mListMillis = listMs;
+        mSelf = self;
+        mChannel = new PeerChannel(loop, this::onNotice);
         mPeers = PeerClient.of(loop, clock, sources.peers());
-        mSeats = new Seats(loop, clock, sources.shared(), random, host, mTargets);
+        mSeats =
+                new Seats(
+                        loop,
+                        clock,
+                        sources.shared(),
+                        random,
+                        new Seats.Self(self.host(), self.text()),
+                        mTargets);
     }
 
     /**
      * Creates the service.
      *
-     * @param host name of this router's host
+     * @param self this router, as others know it
      * @param listMillis pause between two reads of the list of targets
      */
     public static Knowledge of(
@@ -96,9 +136,9 @@
             Clock clock,
             Sources sources,
             RandomGenerator random,
-            String host,
+            Self self,
             long listMillis) {
-        return new Knowledge(loop, clock, sources, random, host, listMillis);
+        return new Knowledge(loop, clock, sources, random, self, listMillis);
     }
 
     // ---------------------------------------------------------------- life-cycle
@@ -118,7 +158,7 @@
                 mSeats.planMillis(),
                 mSeats.planMillis(),
                 TimeUnit.MILLISECONDS);
-        return CompletableFuture.completedFuture(null);
+        return mChannel.listen(mSelf.notices());
     }
 
     @Override
@@ -127,6 +167,7 @@
                 () -> {
                     mStopped = true;
                     mSeats.stop();
+                    mChannel.close();
                 });
         return CompletableFuture.completedFuture(null);
     }
@@ -190,10 +231,19 @@
         mSource.readConfig().whenComplete(this::onConfig);
     }
 
-    private void awaitConfig() {
+    /**
+     * Waits for a newer configuration, unless another router does and tells what it hears: then
+     * this one only looks whether the other is still heard.
+     */
+    private void followConfig() {
         if (mStopped) {
             return;
         }
+        long quiet = mConfigHeardAt + HEARD_MILLIS - mClock.nowMillis();
+        if (quiet > 0) {
+            later(quiet + mRandom.nextLong(SPREAD_MILLIS), this::followConfig);
+            return;
+        }
         mSource.awaitConfig(mConfigRevision, WAIT_MILLIS).whenComplete(this::onConfig);
     }
 
@@ -207,7 +257,9 @@
         mConfigRevision = Math.max(mConfigRevision, read.revision());
         mConfigAt = mClock.nowMillis();
         read.value().ifPresent(c -> offer(c, "store"));
-        awaitConfig();
+        mConfigReadAt = Math.max(mConfigReadAt, read.readAt());
+        tell(PeerNotice.Kind.CONFIG, read.readAt(), mConfig.version());
+        followConfig();
     }
 
     private void onConfigFailure(Throwable failure) {
@@ -222,13 +274,15 @@
     // ---------------------------------------------------------------- targets
 
     private void readList() {
-        if (mStopped) {
+        if (mStopped || mReadingList) {
             return;
         }
+        mReadingList = true;
         mSource.readTargets().whenComplete(this::onList);
     }
 
     private void onList(Versioned<List<TargetEntry>> read, Throwable failure) {
+        mReadingList = false;
         if (failure != null) {
             onNoAnswer(failure);
             later(mListBackoff.next(mRandom), this::readList);
@@ -239,7 +293,29 @@
         mListAt = mClock.nowMillis();
         mListed = true;
         mTargets.apply(read.revision(), read.value(), mListAt).forEach(this::logChange);
-        later(mListMillis - mRandom.nextLong(mListMillis / 8 + 1), this::readList);
+        mListFingerprint = fingerprint(read.value());
+        mListReadAt = read.readAt();
+        mSourceOffset = mListAt - read.readAt();
+        tell(PeerNotice.Kind.LIST, read.readAt(), mListFingerprint);
+        later(mListMillis + mRandom.nextLong(SPREAD_MILLIS), this::readListIfDue);
+    }
+
+    /** Reads the list unless another router has just read the same one. */
+    private void readListIfDue() {
+        long wait = mListAt + mListMillis - mClock.nowMillis();
+        if (wait > 0) {
+            later(wait + mRandom.nextLong(SPREAD_MILLIS), this::readListIfDue);
+            return;
+        }
+        readList();
+    }
+
+    private static long fingerprint(List<TargetEntry> entries) {
+        long sum = entries.size();
+        for (TargetEntry e : entries) {
+            sum += Hashes.of(e.toString()); // a sum, since the order says nothing
+        }
+        return sum;
     }
 
     private void logChange(TargetChange c) {
@@ -253,6 +329,69 @@
 
     // ---------------------------------------------------------------- other routers
 
+    private void tell(PeerNotice.Kind kind, long readAt, long fingerprint) {
+        mChannel.send(new PeerNotice(kind, readAt, fingerprint), mSeats.otherRouters());
+    }
+
+    /** Takes another router's reading in place of an own one, if it is newer and the same. */
+    private void onNotice(PeerNotice n, InetSocketAddress sender) {
+        if (mStopped || mDown) {
+            return;
+        }
+        if (n.kind() == PeerNotice.Kind.CONFIG) {
+            onConfigNotice(n, sender);
+        } else {
+            onListNotice(n);
+        }
+    }
+
+    private void onConfigNotice(PeerNotice n, InetSocketAddress sender) {
+        if (n.fingerprint() > mConfig.version()) {
+            readConfigNow();
+            return;
+        }
+        if (n.readAt() <= mConfigReadAt || n.fingerprint() < mConfig.version()) {
+            return;
+        }
+        mConfigReadAt = n.readAt();
+        mConfigAt = mClock.nowMillis();
+        if (goesBefore(sender)) {
+            mConfigHeardAt = mConfigAt;
+        }
+    }
+
+    /** Of two routers that wait for the same, the one with the lower address goes on. */
+    private boolean goesBefore(InetSocketAddress other) {
+        return Arrays.compareUnsigned(
+                        other.getAddress().getAddress(), mSelf.notices().getAddress().getAddress())
+                < 0;
+    }
+
+    /** Reads beside the loop that follows the configuration, whatever that is waiting for. */
+    private void readConfigNow() {
+        mSource.readConfig()
+                .whenComplete(
+                        (read, failure) -> {
+                            if (failure == null) {
+                                read.value().ifPresent(c -> offer(c, "store, told by a peer"));
+                            } else {
+                                onNoAnswer(failure);
+                            }
+                        });
+    }
+
+    private void onListNotice(PeerNotice n) {
+        if (n.readAt() <= mListReadAt || !mListed) {
+            return;
+        }
+        if (n.fingerprint() == mListFingerprint) {
+            mListReadAt = n.readAt();
+            mListAt = Math.min(mClock.nowMillis(), n.readAt() + mSourceOffset);
+        } else {
+            readList();
+        }
+    }
+
     /** Asks another router while this one knows too little to serve. */
     private void askPeers() {
         if (isComplete() || mAsking || !mPeers.hasPeers()) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
@@ -17,11 +17,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -56,31 +54,41 @@
     private final SharedRows mRows;
     private final RandomGenerator mRandom;
     private final String mHost;
+    private final String mAddress;
     private final TargetDirectory mTargets;
     private final Map<String, SeatTable> mTables = new HashMap<>();
     private final Map<String, Long> mRevisions = new HashMap<>();
     private final Map<String, SeatPlanner> mPlanners = new HashMap<>();
     private final Map<String, Long> mLastRequest = new HashMap<>();
     private final Map<String, String> mPrevious = BoundedMap.byInsertion(MAX_PREVIOUS);
-    private final Set<String> mRouters = new HashSet<>();
+    private final Map<String, String> mRouters = new HashMap<>();
     private final long mStarted;
     private long mRevision;
     private boolean mRead;
     private boolean mProposing;
     private boolean mStopped;
 
+    /**
+     * Names a router to the others.
+     *
+     * @param host name of its host
+     * @param address where it takes notices, IP:PORT
+     */
+    record Self(String host, String address) {}
+
     Seats(
             EventLoop loop,
             Clock clock,
             SharedRows rows,
             RandomGenerator random,
-            String host,
+            Self self,
             TargetDirectory targets) {
         mLoop = loop;
         mClock = clock;
         mRows = rows;
         mRandom = random;
-        mHost = host;
+        mHost = self.host();
+        mAddress = self.address();
         mTargets = targets;
         mStarted = clock.nowMillis();
     }
@@ -119,11 +127,19 @@
         return Math.max(1, mRouters.size());
     }
 
+    /** Returns where the other routers take notices. */
+    List<String> otherRouters() {
+        return mRouters.entrySet().stream()
+                .filter(e -> !e.getKey().equals(mHost))
+                .map(Map.Entry::getValue)
+                .toList();
+    }
+
     // ---------------------------------------------------------------- following
 
     void start() {
         readAll();
-        mRows.put(ROUTER + mHost, mHost).exceptionally(e -> logFailure("register", e));
+        mRows.put(ROUTER + mHost, mAddress).exceptionally(e -> logFailure("register", e));
         mLoop.schedule(this::registerAgain, WAIT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -134,8 +150,8 @@
     }
 
     private void registerAgain() {
-        if (!mStopped && !mRouters.contains(mHost)) {
-            mRows.put(ROUTER + mHost, mHost).exceptionally(e -> logFailure("register", e));
+        if (!mStopped && !mRouters.containsKey(mHost)) {
+            mRows.put(ROUTER + mHost, mAddress).exceptionally(e -> logFailure("register", e));
             mLoop.schedule(this::registerAgain, WAIT_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
@@ -205,7 +221,7 @@
         if (row.value().isEmpty()) {
             mRouters.remove(name);
         } else {
-            mRouters.add(name);
+            mRouters.put(name, row.value());
         }
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/spi/Versioned.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/spi/Versioned.java
@@ -5,7 +5,8 @@
  *
  * @param <T> what was read
  * @param revision grows with every change of the source
+ * @param readAt the source's own steady clock when it was read, in milliseconds
  * @param value what was read
  * @since 0.2
  */
-public record Versioned<T>(long revision, T value) {}
+public record Versioned<T>(long revision, long readAt, T value) {}
--- /dev/null
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
@@ -0,0 +1,87 @@
+package org.forkseam.direct.know;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.Unpooled;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+import org.forkseam.core.member.TargetEntry;
+import org.forkseam.core.traffic.CallerLimits;
+import org.forkseam.core.traffic.Pool;
+import org.forkseam.core.traffic.PoolShare;
+import org.forkseam.core.traffic.Route;
+import org.forkseam.core.traffic.RouteKind;
+import org.forkseam.core.traffic.Team;
+import org.forkseam.core.traffic.TrafficConfig;
+import org.junit.jupiter.api.Test;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+
+/** Tests what routers tell each other. */
+class PeerNoticeTest {
+    @Property(tries = 100)
+    void aNoticeIsReadAsItWasWritten(
+            @ForAll PeerNotice.Kind kind, @ForAll long readAt, @ForAll long fingerprint) {
+        PeerNotice n = new PeerNotice(kind, readAt, fingerprint);
+        assertThat(PeerNotice.read(n.write())).isEqualTo(Optional.of(n));
+    }
+
+    @Property(tries = 300)
+    void anyOtherBytesAreNoNotice(@ForAll byte[] bytes) {
+        PeerNotice known = new PeerNotice(PeerNotice.Kind.LIST, 1, 2);
+        byte[] whole = new byte[known.write().readableBytes()];
+        if (bytes.length != whole.length) {
+            assertThat(PeerNotice.read(Unpooled.wrappedBuffer(bytes)).isPresent()).isFalse();
+        }
+    }
+
+    @Test
+    void anotherFormatOrKindIsPassedOver() {
+        byte[] b = new byte[18];
+        b[0] = 9;
+        assertThat(PeerNotice.read(Unpooled.wrappedBuffer(b)).isPresent()).isFalse();
+        b[0] = 1;
+        b[1] = 7;
+        assertThat(PeerNotice.read(Unpooled.wrappedBuffer(b)).isPresent()).isFalse();
+    }
+
+    @Test
+    void aSnapshotHoldsAllThatARouterNeeds() throws Exception {
+        Route route =
+                new Route(
+                        "r",
+                        "h",
+                        "/a/",
+                        RouteKind.RESUMABLE,
+                        1_000,
+                        100,
+                        50,
+                        2,
+                        1,
+                        false,
+                        List.of(new PoolShare("p", 3), new PoolShare("q", 1)));
+        TrafficConfig c =
+                TrafficConfig.of(
+                        9,
+                        List.of(route),
+                        List.of(new Pool("p", 10, true)),
+                        Map.of(
+                                "k", new Team("t", OptionalInt.of(2)),
+                                "l", new Team("u", OptionalInt.empty())),
+                        new CallerLimits(1, 2, 3, 4));
+        TargetEntry entry = new TargetEntry("i", "p", "10.0.0.1:1", "z", 4, true);
+        PeerSnapshot read = PeerSnapshot.read(PeerSnapshot.of(c, 7, List.of(entry)).write());
+        assertThat(read.config().version()).isEqualTo(9);
+        assertThat(read.config().routes()).containsExactly(route);
+        assertThat(read.config().pools()).containsExactly(new Pool("p", 10, true));
+        assertThat(read.config().teamsByKey()).isEqualTo(c.teamsByKey());
+        assertThat(read.config().limits()).isEqualTo(c.limits());
+        assertThat(read.targets()).containsExactly(entry);
+        assertThat(read.listRevision()).isEqualTo(7);
+    }
+}
