Decide by reading anew on targets that are kept for a while

Found from the line store_back with list_age_ms=8736 and the missing target_gone. Ruled out: the pause between reads (1.1 s at most).

Done: while targets are kept that the list does not hold, notices are not taken. Test: keptEntriesAreToBeLookedAtAgain.

--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
@@ -39,6 +39,7 @@
     private final Map<String, Target> mById = new HashMap<>();
     private final Map<String, List<Target>> mByPool = new HashMap<>();
     private final BoundedMap<String, Lingering> mLingering = BoundedMap.byInsertion(MAX_LINGERING);
+    private boolean mKeepsMissing;
     private long mRevision = -1;
     private long mKeepMissingUntil = Long.MIN_VALUE;
 
@@ -75,10 +76,16 @@
         if (now >= mKeepMissingUntil) {
             removeMissing(listed, changes, now);
         }
+        mKeepsMissing = mById.size() > listed.size();
         index();
         return changes;
     }
 
+    /** Returns whether targets are kept for a while that the newest list does not hold. */
+    public boolean keepsMissing() {
+        return mKeepsMissing;
+    }
+
     private Optional<TargetChange> take(TargetEntry e) {
         Target known = mById.get(e.id());
         if (known == null) {
--- a/forkseam-core/src/test/java/org/forkseam/core/member/TargetDirectoryTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/member/TargetDirectoryTest.java
@@ -60,6 +60,21 @@
         assertThat(takesWork("a")).isFalse();
     }
 
+    /**
+     * A list told by a peer to be unchanged kept a lapsed entry for good: what is kept for a while
+     * must be looked at again.
+     */
+    @Test
+    void keptEntriesAreToBeLookedAtAgain() {
+        mDirectory.apply(1, List.of(entry("a", false)), 0);
+        assertThat(mDirectory.keepsMissing()).isFalse();
+        mDirectory.onSourceBack(6_000, 5_000);
+        mDirectory.apply(2, List.of(), 6_010);
+        assertThat(mDirectory.keepsMissing()).isTrue();
+        mDirectory.apply(2, List.of(), 8_200);
+        assertThat(mDirectory.keepsMissing()).isFalse();
+    }
+
     @Test
     void changesAreTold() {
         assertThat(mDirectory.apply(1, List.of(entry("a", false)), 0))
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -381,8 +381,8 @@
     }
 
     private void onListNotice(PeerNotice n) {
-        if (n.readAt() <= mListReadAt || !mListed) {
-            return;
+        if (n.readAt() <= mListReadAt || !mListed || mTargets.keepsMissing()) {
+            return; // what is kept for a while is decided by reading anew
         }
         if (n.fingerprint() == mListFingerprint) {
             mListReadAt = n.readAt();
