Divide what all routers may use by the routers that are known

Cause: reading for the grown deployments: 28 routers would have used 3.5 times the repeats allowed besides the share, and more connections than a target takes, since both were divided by a constant.

Done: the names of the routers, which they keep in the store, are counted; at least four are reckoned with, and 0.7 of the allowance is used.

--- a/forkseam-core/src/main/java/org/forkseam/core/outcome/WindowBudget.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/outcome/WindowBudget.java
@@ -1,5 +1,7 @@
 package org.forkseam.core.outcome;
 
+import java.util.function.DoubleSupplier;
+
 /**
  * Bounds repeats to a share of the requests of a sliding window plus a fixed allowance.
  *
@@ -13,13 +15,13 @@
     private static final int BUCKETS = 20;
 
     private final double mShare;
-    private final double mAllowance;
+    private final DoubleSupplier mAllowance;
     private final long mBucketMillis;
     private final long[] mRequests = new long[BUCKETS];
     private final long[] mRepeats = new long[BUCKETS];
     private long mBucket = Long.MIN_VALUE;
 
-    private WindowBudget(double share, double allowance, long windowMillis) {
+    private WindowBudget(double share, DoubleSupplier allowance, long windowMillis) {
         mShare = share;
         mAllowance = allowance;
         // One bucket is always partly filled: the others alone must span the window.
@@ -34,6 +36,11 @@
      * @param windowMillis length of the window
      */
     public static WindowBudget of(double share, double allowance, long windowMillis) {
+        return new WindowBudget(share, () -> allowance, windowMillis);
+    }
+
+    /** Creates a budget whose allowance changes, with the number of routers that share it. */
+    public static WindowBudget of(double share, DoubleSupplier allowance, long windowMillis) {
         return new WindowBudget(share, allowance, windowMillis);
     }
 
@@ -65,7 +72,7 @@
             requests += mRequests[i];
             repeats += mRepeats[i];
         }
-        return mShare * requests + mAllowance - repeats;
+        return mShare * requests + mAllowance.getAsDouble() - repeats;
     }
 
     private int slot(long nowMillis) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RepeatBudgets.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RepeatBudgets.java
@@ -4,6 +4,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.IntSupplier;
 
 /** Keeps one budget of repeats for each pool. Used on the event loop. */
 final class RepeatBudgets {
@@ -11,7 +12,7 @@
     private static final double USED_SHARE = 0.9;
 
     private final Bounds mBounds;
-    private final int mRouters;
+    private final IntSupplier mRouters;
     private final Map<String, WindowBudget> mByPool = new HashMap<>();
 
     /**
@@ -28,7 +29,7 @@
      *
      * @param routers the number of routers that share the allowance
      */
-    RepeatBudgets(Bounds bounds, int routers) {
+    RepeatBudgets(Bounds bounds, IntSupplier routers) {
         mBounds = bounds;
         mRouters = routers;
     }
@@ -39,7 +40,7 @@
                 n ->
                         WindowBudget.of(
                                 mBounds.share() * USED_SHARE,
-                                mBounds.allowance() / mRouters,
+                                () -> mBounds.allowance() / mRouters.getAsInt(),
                                 mBounds.windowMillis()));
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -51,8 +51,11 @@
 
     private static final int HOME_MARGIN = 2;
 
-    /** Routers reckoned with when the repeats allowed besides a share are divided. */
-    private static final int ROUTERS_RECKONED = 8;
+    /** Routers reckoned with at least when what all may use is divided: some may not be known. */
+    private static final int MIN_ROUTERS = 4;
+
+    /** Part of the repeats allowed besides a share that is used; one router may be unknown. */
+    private static final double ALLOWANCE_SHARE = 0.7;
 
     private final EventLoop mLoop;
     private final RouterSettings mSettings;
@@ -83,9 +86,9 @@
                                 new RepeatBudgets(
                                         new RepeatBudgets.Bounds(
                                                 b.repeatShare(),
-                                                b.repeatAllowance(),
+                                                b.repeatAllowance() * ALLOWANCE_SHARE,
                                                 b.repeatWindowMillis()),
-                                        ROUTERS_RECKONED),
+                                        this::routers),
                                 new Answers(p.protocol(), p.random()),
                                 new FlowCounters()));
         mServer = new CallerServer(loop, mContext);
@@ -191,14 +194,17 @@
         Set<String> known = new HashSet<>();
         for (Target t : mKnowledge.targets().all()) {
             known.add(t.entry().id());
-            mContext.targets()
-                    .limit(t, mKnowledge.config().pool(t.entry().pool()), ROUTERS_RECKONED / 2);
+            mContext.targets().limit(t, mKnowledge.config().pool(t.entry().pool()), routers());
         }
         mContext.targets().tidy(known);
         CallerLimits limits = mKnowledge.config().limits();
         List.copyOf(mContext.connections()).forEach(c -> c.closeIfStale(now, limits));
     }
 
+    private int routers() {
+        return Math.max(MIN_ROUTERS, mKnowledge.seats().routers());
+    }
+
     private void leave(long now) {
         long since = now - mLeaveAt;
         if (since < BALANCER_MILLIS) {
