Name outcomes once in the log, and say when there is no load reading

Cause: lines read failed_failed_BROKEN, and an age of 4e18 ms where a target has told no load (seen while writing the operations page). Behaviour is as it was.

--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -18,12 +18,14 @@
     /** A target that refused a request is passed over for so long: about one answer's time. */
     private static final long FULL_MILLIS = 80;
 
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     private final long mHash;
     private final TargetHealth mHealth = new TargetHealth();
     private TargetEntry mEntry;
     private int mInFlight;
     private int mOthers;
-    private long mReadAt = Long.MIN_VALUE / 2;
+    private long mReadAt = NEVER;
     private long mHeardAt;
     private long mBusySince;
     private long mFullUntil;
@@ -117,9 +119,9 @@
         return nowMillis - mReadAt > READING_VALID_MILLIS ? 0 : mOthers;
     }
 
-    /** Returns the age of the last load reading in milliseconds. */
+    /** Returns the age of the last load reading in milliseconds, or -1 if there was none. */
     public long readingAgeMillis(long nowMillis) {
-        return nowMillis - mReadAt;
+        return mReadAt == NEVER ? -1 : nowMillis - mReadAt;
     }
 
     // ---------------------------------------------------------------- health
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -25,6 +25,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 
@@ -63,7 +64,6 @@
     private boolean mDone;
     private Optional<String> mCopySource = Optional.empty();
     private String mLastId;
-    private AttemptEnd mLastEnd = AttemptEnd.of(AttemptEnd.Kind.UNREACHABLE, "no target tried");
 
     RequestFlow(RouterContext context, CallerRequest request, CallerSink sink) {
         mContext = context;
@@ -221,7 +221,6 @@
     @Override
     public void onEnd(Attempt a, AttemptEnd end) {
         mAttempt = null;
-        mLastEnd = end;
         long now = mContext.now();
         mContext.counters().onAttempt(end.kind().name());
         learn(a, end, now);
@@ -380,7 +379,7 @@
             mSink.answer(mContext.answers().whole(a.head(), a.body(), false));
             return;
         }
-        giveUp("failed_" + end.kind());
+        giveUp(end.kind().name().toLowerCase(Locale.ROOT));
     }
 
     /** A 503 says that the request has not run; a target's that has run is not passed on. */
@@ -477,9 +476,4 @@
         }
         finish("caller_gone");
     }
-
-    /** Returns how the last attempt ended. */
-    AttemptEnd lastEnd() {
-        return mLastEnd;
-    }
 }
