--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -74,6 +74,7 @@
     private long mListReadAt = Long.MIN_VALUE;
     private long mSourceOffset;
     private long mListFingerprint;
+    private boolean mReadingConfig;
     private boolean mReadingList;
     private boolean mAsking;
     private boolean mDown;
@@ -367,11 +368,19 @@
                 < 0;
     }
 
-    /** Reads beside the loop that follows the configuration, whatever that is waiting for. */
+    /**
+     * Reads beside the loop that follows the configuration, whatever that is waiting for. One read
+     * at a time: several large ones at once would fill a narrow link and none would be in time.
+     */
     private void readConfigNow() {
+        if (mReadingConfig) {
+            return;
+        }
+        mReadingConfig = true;
         mSource.readConfig()
                 .whenComplete(
                         (read, failure) -> {
+                            mReadingConfig = false;
                             if (failure == null) {
                                 read.value().ifPresent(c -> offer(c, "store, told by a peer"));
                             } else {
