--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -363,9 +363,11 @@
 
     /** Of two routers that wait for the same, the one with the lower address goes on. */
     private boolean goesBefore(InetSocketAddress other) {
-        return Arrays.compareUnsigned(
-                        other.getAddress().getAddress(), mSelf.notices().getAddress().getAddress())
-                < 0;
+        InetSocketAddress own = mSelf.notices();
+        int byHost =
+                Arrays.compareUnsigned(
+                        other.getAddress().getAddress(), own.getAddress().getAddress());
+        return byHost != 0 ? byHost < 0 : other.getPort() < own.getPort();
     }
 
     /**
