Plan one next read of the list, and drop dead code

A read of the list that another router's notice began planned a next read of its own, beside the one already planned, so timers grew by one with each change of the list. They read nothing more, since each looks first whether a read is due, but they woke the loop. EventSplitter.takeHeld and dropHeld and Pick.Reason.NONE_HEALTHY were used by nobody.

Done: one planned read at a time. Ruled out: a second check in the timer, which would leave the timers.

Checks: format, lint and all tests of forkseam-core, forkseam-direct and platform green; no test pins the number of timers.

--- a/forkseam-core/src/main/java/org/forkseam/core/route/Pick.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/Pick.java
@@ -20,8 +20,6 @@
         /** It held the fewest requests. */
         LEAST_LOADED,
         /** All healthy ones were over their bound. */
-        ALL_LOADED,
-        /** No target seemed healthy. */
-        NONE_HEALTHY
+        ALL_LOADED
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/EventSplitter.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/EventSplitter.java
@@ -76,18 +76,6 @@
         return mHeld.isReadable();
     }
 
-    /** Returns and forgets the bytes held back. */
-    public ByteBuf takeHeld() {
-        ByteBuf held = mHeld;
-        mHeld = Unpooled.buffer(0);
-        return held;
-    }
-
-    /** Forgets an unfinished event: the stream goes on at another target. */
-    public void dropHeld() {
-        mHeld = Unpooled.buffer(0);
-    }
-
     /** Returns the id of the last whole event passed. */
     public Optional<String> lastId() {
         String[] lines = new String(mLast, StandardCharsets.UTF_8).split("\r?\n");
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -74,6 +75,7 @@
     private long mListReadAt = Long.MIN_VALUE;
     private long mSourceOffset;
     private long mListFingerprint;
+    private ScheduledFuture<?> mNextList;
     private boolean mReadingConfig;
     private boolean mReadingList;
     private boolean mAsking;
@@ -286,7 +288,7 @@
         mReadingList = false;
         if (failure != null) {
             onNoAnswer(failure);
-            later(mListBackoff.next(mRandom), this::readList);
+            readListIn(mListBackoff.next(mRandom), this::readList);
             return;
         }
         onAnswer();
@@ -298,14 +300,22 @@
         mListReadAt = read.readAt();
         mSourceOffset = mListAt - read.readAt();
         tell(PeerNotice.Kind.LIST, read.readAt(), mListFingerprint);
-        later(mListMillis + mRandom.nextLong(SPREAD_MILLIS), this::readListIfDue);
+        readListIn(mListMillis + mRandom.nextLong(SPREAD_MILLIS), this::readListIfDue);
+    }
+
+    /** Plans the next read in place of the one planned: a read that a notice began adds none. */
+    private void readListIn(long millis, Runnable read) {
+        if (mNextList != null) {
+            mNextList.cancel(false);
+        }
+        mNextList = mLoop.schedule(read, millis, TimeUnit.MILLISECONDS);
     }
 
     /** Reads the list unless another router has just read the same one. */
     private void readListIfDue() {
         long wait = mListAt + mListMillis - mClock.nowMillis();
         if (wait > 0) {
-            later(wait + mRandom.nextLong(SPREAD_MILLIS), this::readListIfDue);
+            readListIn(wait + mRandom.nextLong(SPREAD_MILLIS), this::readListIfDue);
             return;
         }
         readList();
