Pass on events together, and spend less processor at the start

Each event of a stream was copied three times and written by a call of its own, also when many had come together. The classes loaded from no archive showed two clusters of method handles spun at each start: the text of a record in the fingerprint of the list (20 ms), and the logging library's asynchronous appender and printer of statuses.

Whole events of one read go out in one write; one copy. The fingerprint hashes fields. The queue for log lines is our own, drained at a stop.

--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetEntry.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetEntry.java
@@ -1,5 +1,7 @@
 package org.forkseam.core.member;
 
+import org.forkseam.core.util.Hashes;
+
 /**
  * Holds what a target has recorded of itself. A restarted target has a new id.
  *
@@ -12,4 +14,14 @@
  * @since 0.2
  */
 public record TargetEntry(
-        String id, String pool, String address, String domain, int slots, boolean leaving) {}
+        String id, String pool, String address, String domain, int slots, boolean leaving) {
+
+    /**
+     * Returns a hash of all fields. The record's own text would do as well, but its first use costs
+     * some 20 ms of processor, at every start.
+     */
+    public long fingerprint() {
+        return Hashes.of(
+                id + '|' + pool + '|' + address + '|' + domain + '|' + slots + '|' + leaving);
+    }
+}
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -178,7 +178,7 @@
             return;
         }
         if (mStream && isSuccess()) {
-            pass(mSplitter.take(bytes));
+            mSplitter.add(bytes);
             return;
         }
         mBody =
@@ -191,7 +191,16 @@
         }
     }
 
-    private void pass(ByteBuf events) {
+    /**
+     * Passes on the events that have come together: on a busy router one write carries many, which
+     * saves most of what a stream costs.
+     */
+    @Override
+    public void onReadComplete() {
+        if (mEnded || !mStream || mHead == null || !isSuccess()) {
+            return;
+        }
+        ByteBuf events = mSplitter.takeWhole();
         if (!events.isReadable()) {
             return;
         }
@@ -210,6 +219,7 @@
 
     @Override
     public void onEnd() {
+        onReadComplete();
         mConnection = null;
         if (mEnded) {
             return;
@@ -241,6 +251,7 @@
 
     @Override
     public void onBroken(BreakKind kind, String detail) {
+        onReadComplete();
         mConnection = null;
         end(AttemptEnd.of(kind, detail));
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/AnswerListener.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/AnswerListener.java
@@ -11,6 +11,9 @@
     /** Tells of a part of the body; the bytes are the caller's again when this returns. */
     void onBody(ByteBuf bytes);
 
+    /** Tells that all bytes that have arrived by now were told; more may follow. */
+    default void onReadComplete() {}
+
     /** Tells that the answer is whole. */
     void onEnd();
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/EventSplitter.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/EventSplitter.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 
 /**
@@ -18,8 +19,10 @@
 public final class EventSplitter {
     private static final String ID = "id:";
 
-    private ByteBuf mHeld = Unpooled.buffer(0);
-    private byte[] mLast = new byte[0];
+    private static final byte[] NOTHING = new byte[0];
+
+    private byte[] mHeld = NOTHING;
+    private byte[] mLast = NOTHING;
 
     private EventSplitter() {}
 
@@ -28,52 +31,48 @@
         return new EventSplitter();
     }
 
-    /** Takes bytes in and returns those that end with the last whole event; maybe none. */
-    public ByteBuf take(ByteBuf bytes) {
-        ByteBuf all = bytes;
-        if (mHeld.isReadable()) {
-            all = Unpooled.copiedBuffer(mHeld, bytes);
-        }
-        int end = endOfLastEvent(all);
-        ByteBuf whole = Unpooled.copiedBuffer(all.slice(all.readerIndex(), end));
-        mHeld = Unpooled.copiedBuffer(all.slice(all.readerIndex() + end, rest(all, end)));
-        remember(whole);
-        return whole;
+    /** Takes bytes in. */
+    public void add(ByteBuf bytes) {
+        byte[] b = ByteBufUtil.getBytes(bytes);
+        mHeld = mHeld.length == 0 ? b : joined(mHeld, b);
     }
 
-    private static int rest(ByteBuf all, int end) {
-        return all.readableBytes() - end;
+    private static byte[] joined(byte[] a, byte[] b) {
+        byte[] both = Arrays.copyOf(a, a.length + b.length);
+        System.arraycopy(b, 0, both, a.length, b.length);
+        return both;
+    }
+
+    /** Returns the whole events that have come since the last call; maybe none. */
+    public ByteBuf takeWhole() {
+        int end = endOfLastEvent(mHeld);
+        if (end == 0) {
+            return Unpooled.EMPTY_BUFFER;
+        }
+        // Mostly all bytes are whole events: then they are passed on without another copy.
+        mLast = end == mHeld.length ? mHeld : Arrays.copyOf(mHeld, end);
+        mHeld = end == mHeld.length ? NOTHING : Arrays.copyOfRange(mHeld, end, mHeld.length);
+        return Unpooled.wrappedBuffer(mLast);
     }
 
-    private static int endOfLastEvent(ByteBuf b) {
-        for (int i = b.readableBytes() - 1; i > 0; i--) {
-            if (at(b, i) != '\n') {
+    private static int endOfLastEvent(byte[] b) {
+        for (int i = b.length - 1; i > 0; i--) {
+            if (b[i] != '\n') {
                 continue;
             }
-            if (at(b, i - 1) == '\n') {
+            if (b[i - 1] == '\n') {
                 return i + 1;
             }
-            if (i > 2 && at(b, i - 1) == '\r' && at(b, i - 2) == '\n') {
+            if (i > 2 && b[i - 1] == '\r' && b[i - 2] == '\n') {
                 return i + 1;
             }
         }
         return 0;
     }
 
-    private static byte at(ByteBuf b, int i) {
-        return b.getByte(b.readerIndex() + i);
-    }
-
-    /** Keeps the events passed last; they are searched for an id only when one is asked for. */
-    private void remember(ByteBuf whole) {
-        if (whole.isReadable()) {
-            mLast = ByteBufUtil.getBytes(whole);
-        }
-    }
-
     /** Returns whether bytes of an unfinished event are held back. */
     public boolean isHolding() {
-        return mHeld.isReadable();
+        return mHeld.length > 0;
     }
 
     /** Returns the id of the last whole event passed. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
@@ -116,6 +116,14 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (mListener != null) {
+            mListener.onReadComplete();
+        }
+        ctx.fireChannelReadComplete();
+    }
+
     private void onObject(HttpObject o) {
         if (mListener == null) {
             close(); // bytes that belong to no request
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -9,7 +9,6 @@
 import org.forkseam.core.member.TargetEntry;
 import org.forkseam.core.traffic.TrafficConfig;
 import org.forkseam.core.util.Clock;
-import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.FleetSource;
 import org.forkseam.direct.spi.SharedRows;
@@ -329,7 +328,7 @@
     private static long fingerprint(List<TargetEntry> entries) {
         long sum = entries.size();
         for (TargetEntry e : entries) {
-            sum += Hashes.of(e.toString()); // a sum, since the order says nothing
+            sum += e.fingerprint(); // a sum, since the order says nothing
         }
         return sum;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/log/LogSetup.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/log/LogSetup.java
@@ -1,5 +1,7 @@
 package org.forkseam.direct.log;
 
+import org.slf4j.LoggerFactory;
+
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
@@ -20,6 +22,8 @@
 
     @Override
     public ExecutionStatus configure(LoggerContext context) {
+        // With a listener of its own the library does not load its printer of statuses.
+        context.getStatusManager().add(new StatusToStderr());
         LineEncoder encoder = new LineEncoder();
         encoder.setContext(context);
         encoder.start();
@@ -27,9 +31,8 @@
         console.setContext(context);
         console.setEncoder(encoder);
         console.start();
-        CountingAppender queue = new CountingAppender();
+        CountingAppender queue = CountingAppender.to(console);
         queue.setContext(context);
-        queue.addAppender(console);
         queue.start();
         Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
         root.setLevel(Level.WARN);
@@ -37,4 +40,11 @@
         context.getLogger("forkseam").setLevel(Level.INFO);
         return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
     }
+
+    /** Writes the lines that wait, and ends logging. */
+    public static void stop() {
+        if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
+            context.stop();
+        }
+    }
 }
--- /dev/null
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/log/StatusToStderr.java
@@ -0,0 +1,14 @@
+package org.forkseam.direct.log;
+
+import ch.qos.logback.core.status.Status;
+import ch.qos.logback.core.status.StatusListener;
+
+/** Writes what goes wrong within logging itself to standard error. Thread-safe. */
+final class StatusToStderr implements StatusListener {
+    @Override
+    public void addStatusEvent(Status s) {
+        if (s.getEffectiveLevel() >= Status.WARN) {
+            System.err.println(s);
+        }
+    }
+}
--- a/forkseam-direct/src/test/java/org/forkseam/direct/io/EventSplitterTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/io/EventSplitterTest.java
@@ -22,6 +22,11 @@
         return Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
     }
 
+    private static ByteBuf take(EventSplitter s, String text) {
+        s.add(bytes(text));
+        return s.takeWhole();
+    }
+
     private static String text(ByteBuf b) {
         return b.toString(StandardCharsets.UTF_8);
     }
@@ -42,16 +47,27 @@
         int at = 0;
         for (int cut : cuts) {
             int end = Math.min(stream.length(), at + cut);
-            passed.append(text(s.take(bytes(stream.substring(at, end)))));
+            passed.append(text(take(s, stream.substring(at, end))));
             assertThat(passed.length() == 0 || passed.toString().endsWith(nl + nl)).isTrue();
             at = end;
         }
-        passed.append(text(s.take(bytes(stream.substring(at)))));
+        passed.append(text(take(s, stream.substring(at))));
         assertThat(passed.toString()).isEqualTo(all.toString());
         assertThat(s.isHolding()).isTrue();
         assertThat(s.lastId()).isEqualTo(Optional.of("" + events));
     }
 
+    @Test
+    void whatCameTogetherIsTakenTogether() {
+        EventSplitter s = EventSplitter.create();
+        s.add(bytes("id: 1\ndata: a\n\n"));
+        s.add(bytes("id: 2\ndata: b\n\nid: 3\n"));
+        assertThat(text(s.takeWhole())).isEqualTo("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        assertThat(s.takeWhole().isReadable()).isFalse();
+        assertThat(s.lastId()).isEqualTo(Optional.of("2"));
+        assertThat(s.isHolding()).isTrue();
+    }
+
     @Test
     void aStreamThatHasNotBegunHasNoId() {
         assertThat(EventSplitter.create().lastId()).isEqualTo(Optional.empty());
