Clear the fields that only routers set before a target sees a request

Cause: callers sent fields by which only the system speaks to targets (a reservation, a copy's source, a backup, a time to keep a prompt), and routers passed them on. A target refuses an unknown reservation or copy with 503, as if it were full, so requests were refused while engines were empty. A Connection header could also take the request's id, model, host or length away. A malformed field is now named in a 400 and reaches no target.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Answers.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Answers.java
@@ -66,8 +66,8 @@
         return r;
     }
 
-    private static void copyHeaders(HttpResponse from, HttpHeaders to) {
+    private void copyHeaders(HttpResponse from, HttpHeaders to) {
         to.set(from.headers());
-        HopHeaders.remove(to);
+        HopHeaders.remove(to, mProtocol::isEndToEnd);
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Gate.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Gate.java
@@ -33,6 +33,11 @@
     record TurnedAway(HttpResponseStatus status, String why) implements Verdict {}
 
     static Verdict check(TrafficConfig config, CallerRequest r) {
+        Optional<String> malformed = r.head().malformed();
+        if (malformed.isPresent()) {
+            return new TurnedAway(
+                    HttpResponseStatus.BAD_REQUEST, malformed.get() + " cannot be read");
+        }
         if (r.head().requestId().isEmpty()) {
             return new TurnedAway(HttpResponseStatus.BAD_REQUEST, "request without an id");
         }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/HopHeaders.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/HopHeaders.java
@@ -4,8 +4,17 @@
 import io.netty.handler.codec.http.HttpHeaders;
 
 import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.function.Predicate;
 
-/** Removes headers that concern one connection only (RFC 9110, 7.6.1). */
+/**
+ * Removes headers that concern one connection only (RFC 9110, 7.6.1).
+ *
+ * <p>A sender may list fields of its own in {@code Connection}. Those that say what a message is
+ * and where it goes stay all the same: otherwise a caller could have a request arrive without its
+ * id, its model or its length.
+ */
 final class HopHeaders {
     private static final List<CharSequence> NAMES =
             List.of(
@@ -19,12 +28,25 @@
                     HttpHeaderNames.TRANSFER_ENCODING,
                     HttpHeaderNames.UPGRADE);
 
+    private static final Set<String> MESSAGE =
+            Set.of("host", "content-length", "content-type", "content-encoding");
+
     private HopHeaders() {}
 
-    static void remove(HttpHeaders headers) {
+    /**
+     * Removes them.
+     *
+     * @param isEndToEnd further fields, by name, that no connection option takes away
+     */
+    static void remove(HttpHeaders headers, Predicate<String> isEndToEnd) {
         for (String listed : headers.getAll(HttpHeaderNames.CONNECTION)) {
-            for (String name : listed.split(",")) {
-                headers.remove(name.strip());
+            for (String part : listed.split(",")) {
+                String name = part.strip();
+                boolean stays =
+                        MESSAGE.contains(name.toLowerCase(Locale.ROOT)) || isEndToEnd.test(name);
+                if (!stays) {
+                    headers.remove(name);
+                }
             }
         }
         NAMES.forEach(headers::remove);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -17,6 +17,7 @@
 import org.forkseam.core.traffic.Pool;
 import org.forkseam.core.traffic.Prompt;
 import org.forkseam.core.traffic.Route;
+import org.forkseam.core.traffic.RouteKind;
 import org.forkseam.core.traffic.Team;
 import org.forkseam.core.traffic.TrafficConfig;
 import org.forkseam.core.util.Hashes;
@@ -113,6 +114,9 @@
         mRoute = p.route();
         mTeam = p.team();
         mPool = mRoute.pool(mRequest.id());
+        if (mRoute.kind() == RouteKind.RESUMABLE) {
+            mLastId = mRequest.head().lastEventId().orElse(null);
+        }
         long wait = mRequest.head().waitMillis().orElse(Long.MAX_VALUE);
         long held = Math.min(wait, mRoute.timeoutMillis());
         mDeadline = mRequest.receivedMillis() + held - ANSWER_MARGIN_MILLIS;
@@ -180,7 +184,7 @@
                         mRequest.uri(),
                         Unpooled.wrappedBuffer(mRequest.body()));
         r.headers().set(mRequest.headers());
-        HopHeaders.remove(r.headers());
+        HopHeaders.remove(r.headers(), mContext.protocol()::isEndToEnd);
         r.headers().remove(HttpHeaderNames.EXPECT);
         if (mRequest.body().length > 0
                 || mRequest.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/spi/CallerHead.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/spi/CallerHead.java
@@ -13,6 +13,7 @@
  * @param key the caller's key
  * @param prompt the prompt, for requests to model engines
  * @param lastEventId the last event the caller has, when it resumes a stream
+ * @param malformed name of a field that cannot be read, if there is one
  * @since 0.2
  */
 public record CallerHead(
@@ -20,4 +21,5 @@
         OptionalLong waitMillis,
         Optional<String> key,
         Optional<Prompt> prompt,
-        Optional<String> lastEventId) {}
+        Optional<String> lastEventId,
+        Optional<String> malformed) {}
--- a/forkseam-direct/src/main/java/org/forkseam/direct/spi/CallerProtocol.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/spi/CallerProtocol.java
@@ -16,7 +16,10 @@
     /** Decodes the head of a target's answer. */
     AnswerHead decode(HttpResponse response);
 
-    /** Sets what the router adds, and removes what targets must not see. */
+    /** Returns whether a field reaches the other end whatever a connection option says of it. */
+    boolean isEndToEnd(String name);
+
+    /** Removes every field that only routers set toward targets, then sets what this one adds. */
     void handOver(HttpHeaders headers, Handover handover);
 
     /** Names the request in an answer of the router's own. */
