Tell refused callers when to come back by the pool's pace; find connections that went silent; split RequestFlow

Cause: Retry-After was a quarter of the latency objective whatever the router knew. Kept connections to a target that are cut off without a reset cost one request each its whole time. Change: ComeBack estimates from what a pool answered and refused within the last second, 100 ms to 2 s, spread as before. An attempt that heard nothing for 400 ms when it is ended closes the idle connections to its target that are as old. Ruled out: keep-alive probes for this: their pace would have to be under a request's time, on thousands of connections.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -26,6 +26,13 @@
     /** An answer larger than this is taken for a fault of the target. */
     private static final int MAX_BODY_BYTES = 16 << 20;
 
+    /**
+     * A connection that brings nothing for so long may have been cut off without a word. The others
+     * to its target that are idle are opened anew then, at some 1 ms each; one that was cut off
+     * costs a request its whole time.
+     */
+    private static final long CUT_OFF_MILLIS = 400;
+
     private final RouterContext mContext;
     private final Target mTarget;
     private final String mRequestId;
@@ -72,6 +79,9 @@
         }
         mEnded = true;
         mTarget.onEnded();
+        if (isSent() && mHeardAt == 0 && mContext.now() - mSentAt > CUT_OFF_MILLIS) {
+            mContext.targets().pool(mTarget).closeIdleSince(mSentAt);
+        }
         if (mConnection != null) {
             mConnection.abandon();
         }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -10,24 +10,15 @@
 import io.netty.handler.codec.http.HttpVersion;
 
 import org.forkseam.core.member.Target;
-import org.forkseam.core.route.CandidateFilter;
 import org.forkseam.core.route.Pick;
-import org.forkseam.core.route.PickRequest;
-import org.forkseam.core.route.TargetPicker;
-import org.forkseam.core.traffic.Pool;
-import org.forkseam.core.traffic.Prompt;
 import org.forkseam.core.traffic.Route;
 import org.forkseam.core.traffic.RouteKind;
 import org.forkseam.core.traffic.Team;
 import org.forkseam.core.traffic.TrafficConfig;
-import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.spi.Handover;
 
-import java.util.HashSet;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * Carries one request from its reading to its final answer. Used on the event loop.
@@ -51,7 +42,7 @@
     private final CallerSink mSink;
     private final FlowRecord mRecord;
     private final long mReadAt;
-    private final Set<String> mTried = new HashSet<>();
+    private final RequestPlacement mPlacement;
     private TrafficConfig mConfig;
     private Route mRoute;
     private Optional<Team> mTeam = Optional.empty();
@@ -63,7 +54,6 @@
     private boolean mMayHaveRun;
     private boolean mStreaming;
     private boolean mDone;
-    private Optional<String> mCopySource = Optional.empty();
     private String mLastId;
 
     RequestFlow(RouterContext context, CallerRequest request, CallerSink sink) {
@@ -71,6 +61,7 @@
         mRequest = request;
         mSink = sink;
         mRecord = new FlowRecord(context, request);
+        mPlacement = new RequestPlacement(context, request);
         mReadAt = context.now();
     }
 
@@ -151,19 +142,15 @@
     // ---------------------------------------------------------------- attempts
 
     private void attempt() {
-        long now = mContext.now();
-        CandidateFilter.Candidates c =
-                mContext.placing()
-                        .filter()
-                        .of(mContext.knowledge().targets().pool(mPool), mTried, now);
-        Optional<Pick> pick = picker().pick(pickRequest(), c.targets(), now);
+        Optional<Pick> pick = mPlacement.next(mConfig, mPool);
         if (pick.isEmpty()) {
             giveUp("no_target");
             return;
         }
         Target t = pick.get().target();
-        mRecord.onChoice(new FlowRecord.Choice(mPool, pick.get(), placementKey(), sharedTokens()));
-        mTried.add(t.entry().id());
+        mRecord.onChoice(
+                new FlowRecord.Choice(
+                        mPool, pick.get(), mPlacement.key(), mPlacement.sharedTokens()));
         mAttempt =
                 new Attempt(
                         mContext,
@@ -175,24 +162,6 @@
         mAttempt.start(maxIdleMillis());
     }
 
-    private TargetPicker picker() {
-        boolean engine = mConfig.pool(mPool).map(Pool::engine).orElse(false);
-        return engine ? mContext.placing().engines() : mContext.placing().services();
-    }
-
-    private PickRequest pickRequest() {
-        return new PickRequest(
-                placementKey(), sharedTokens(), mContext.knowledge().seats().table(mPool));
-    }
-
-    private long sharedTokens() {
-        return mRequest.head().prompt().map(Prompt::sharedTokens).orElse(0L);
-    }
-
-    private String placementKey() {
-        return mRequest.head().prompt().map(Prompt::sharedKey).orElse(mRequest.id());
-    }
-
     /** A kept connection may have been forgotten: what cannot be repeated avoids old ones. */
     private long maxIdleMillis() {
         return mRoute.kind().isRepeatable() ? 5_000 : 2_000;
@@ -226,25 +195,10 @@
                                 mTeam.map(Team::name),
                                 priority,
                                 Optional.ofNullable(mLastId),
-                                copyFrom(t)));
+                                mPlacement.copyFrom(t, mPool)));
         return r;
     }
 
-    /** Finds a target from which this one can copy the prompt it is not likely to have. */
-    private Optional<String> copyFrom(Target t) {
-        if (sharedTokens() == 0) {
-            return Optional.empty();
-        }
-        long now = mContext.now();
-        String key = placementKey();
-        List<String> likely = mContext.knowledge().seats().likelyHolders(mPool, Hashes.of(key));
-        mCopySource =
-                mContext.holders()
-                        .source(key, t, likely, mContext.knowledge().targets(), now)
-                        .map(s -> s.entry().address());
-        return mCopySource;
-    }
-
     @Override
     public void onEnd(Attempt a, AttemptEnd end) {
         mAttempt = null;
@@ -395,9 +349,8 @@
     // ---------------------------------------------------------------- ending
 
     private void finishAnswered(Attempt a) {
-        if (sharedTokens() > 0) {
-            mContext.holders().onAnswered(placementKey(), a.target().entry().id(), mContext.now());
-        }
+        mContext.comeBack(mPool).onServed(mContext.now());
+        mPlacement.onAnswered(a.target());
         if (mRoute.kind().isStream() && mStreaming) {
             finish("answered");
             mSink.end();
@@ -444,7 +397,7 @@
     }
 
     private long backInMillis() {
-        return Math.max(100, mRoute.latencyMillis() / 4);
+        return mContext.comeBack(mPool).onRefused(mContext.now());
     }
 
     private void finishOwn(String outcome, io.netty.handler.codec.http.FullHttpResponse r) {
@@ -462,7 +415,7 @@
                         mTeam.map(Team::name).orElse(""),
                         mConfig == null ? 0 : mConfig.version(),
                         mSent,
-                        mCopySource));
+                        mPlacement.copySource()));
     }
 
     /** The caller has gone: nothing is sent any more, and the target sees its connection close. */
--- /dev/null
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
@@ -0,0 +1,89 @@
+package org.forkseam.direct.flow;
+
+import org.forkseam.core.member.Target;
+import org.forkseam.core.route.CandidateFilter;
+import org.forkseam.core.route.Pick;
+import org.forkseam.core.route.PickRequest;
+import org.forkseam.core.route.TargetPicker;
+import org.forkseam.core.traffic.Pool;
+import org.forkseam.core.traffic.Prompt;
+import org.forkseam.core.traffic.TrafficConfig;
+import org.forkseam.core.util.Hashes;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Chooses the targets of one request, and where a target copies a prompt from that it has not read.
+ * Used on the event loop.
+ */
+final class RequestPlacement {
+    private final RouterContext mContext;
+    private final String mKey;
+    private final long mSharedTokens;
+    private final Set<String> mTried = new HashSet<>();
+    private Optional<String> mCopySource = Optional.empty();
+
+    RequestPlacement(RouterContext context, CallerRequest request) {
+        mContext = context;
+        Optional<Prompt> prompt = request.head().prompt();
+        mKey = prompt.map(Prompt::sharedKey).orElse(request.id());
+        mSharedTokens = prompt.map(Prompt::sharedTokens).orElse(0L);
+    }
+
+    /** Returns what the choice is made by. */
+    String key() {
+        return mKey;
+    }
+
+    /** Returns the tokens of the prompt that other requests share. */
+    long sharedTokens() {
+        return mSharedTokens;
+    }
+
+    /** Returns the target that the last request was told to copy the prompt from. */
+    Optional<String> copySource() {
+        return mCopySource;
+    }
+
+    /** Chooses a target that this request was not sent to yet. */
+    Optional<Pick> next(TrafficConfig config, String pool) {
+        long now = mContext.now();
+        CandidateFilter.Candidates c =
+                mContext.placing()
+                        .filter()
+                        .of(mContext.knowledge().targets().pool(pool), mTried, now);
+        PickRequest request =
+                new PickRequest(mKey, mSharedTokens, mContext.knowledge().seats().table(pool));
+        Optional<Pick> pick = picker(config, pool).pick(request, c.targets(), now);
+        pick.ifPresent(p -> mTried.add(p.target().entry().id()));
+        return pick;
+    }
+
+    private TargetPicker picker(TrafficConfig config, String pool) {
+        boolean engine = config.pool(pool).map(Pool::engine).orElse(false);
+        return engine ? mContext.placing().engines() : mContext.placing().services();
+    }
+
+    /** Finds a target from which this one can copy the prompt it is not likely to have. */
+    Optional<String> copyFrom(Target t, String pool) {
+        if (mSharedTokens == 0) {
+            return Optional.empty();
+        }
+        List<String> likely = mContext.knowledge().seats().likelyHolders(pool, Hashes.of(mKey));
+        mCopySource =
+                mContext.holders()
+                        .source(mKey, t, likely, mContext.knowledge().targets(), mContext.now())
+                        .map(s -> s.entry().address());
+        return mCopySource;
+    }
+
+    /** Notes that a target has read the prompt. */
+    void onAnswered(Target t) {
+        if (mSharedTokens > 0) {
+            mContext.holders().onAnswered(mKey, t.entry().id(), mContext.now());
+        }
+    }
+}
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -1,5 +1,6 @@
 package org.forkseam.direct.flow;
 
+import org.forkseam.core.outcome.ComeBack;
 import org.forkseam.core.route.CandidateFilter;
 import org.forkseam.core.route.HolderMemory;
 import org.forkseam.core.route.TargetPicker;
@@ -8,7 +9,9 @@
 import org.forkseam.direct.know.Knowledge;
 import org.forkseam.direct.spi.CallerProtocol;
 
+import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Set;
 
 /** Holds what all requests of a router share. Used on the event loop. */
@@ -24,6 +27,7 @@
     private final Arrivals mArrivals;
     private final Intake mIntake;
     private final LoopLag mLag;
+    private final Map<String, ComeBack> mComeBack = new HashMap<>();
     private final Set<RequestFlow> mFlows = new LinkedHashSet<>();
     private final Set<CallerConnection> mConnections = new LinkedHashSet<>();
     private final HolderMemory mHolders = HolderMemory.create();
@@ -88,6 +92,11 @@
         return mIntake;
     }
 
+    /** Returns what tells the refused callers of a pool when to come back. */
+    ComeBack comeBack(String pool) {
+        return mComeBack.computeIfAbsent(pool, p -> ComeBack.since(now()));
+    }
+
     /** Returns the watch on the event loop. */
     LoopLag lag() {
         return mLag;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/ConnectionPool.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/ConnectionPool.java
@@ -97,6 +97,14 @@
         }
     }
 
+    /**
+     * Closes the connections that have been idle since a moment: one that was used then has gone
+     * silent, and whatever cut it off without a word is likely to have cut those off too.
+     */
+    public void closeIdleSince(long millis) {
+        closeIdle(mClock.nowMillis() - millis);
+    }
+
     /** Closes all idle connections; those in use are closed when given back. */
     public void close() {
         mClosed = true;
