Judge a target's failures against its pool's, and copy prompts from targets that are coming back

Two failures in a row took a target out, whatever the others did, so the homes of all keys moved about; and a target on its way back was no source for copies. From the routers' logs: 288 requests, 1,055,380 tokens, were read again at a home although another target held the prompt. Ruled out: lost seats after the restart (seats were read within 20 ms), the cut of two routers from the store (all four routers alike), spills (136,475 tokens). Change: a failure that a target answers counts against it only if its rate is twice its pool's; broken connections count as before. Sources may be on their ramp.

--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -22,6 +22,7 @@
 
     private final long mHash;
     private final TargetHealth mHealth = new TargetHealth();
+    private final ErrorRate mErrors = new ErrorRate();
     private TargetEntry mEntry;
     private int mInFlight;
     private int mOthers;
@@ -131,6 +132,11 @@
         return mHealth;
     }
 
+    /** Returns the share of its requests that fail. */
+    public ErrorRate errors() {
+        return mErrors;
+    }
+
     /** Returns whether it holds work of this router and has sent nothing for long. */
     public boolean isSilent(long nowMillis) {
         return silentMillis(nowMillis) > SILENT_MILLIS;
--- a/forkseam-core/src/main/java/org/forkseam/core/route/HolderMemory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/HolderMemory.java
@@ -96,6 +96,7 @@
     }
 
     private static boolean isGood(Target t, Target chosen, long nowMillis) {
-        return t != chosen && t.health().share(nowMillis) >= 1 && !t.isSilent(nowMillis);
+        // One that is coming back after failures still has what it read before.
+        return t != chosen && t.health().share(nowMillis) > 0 && !t.isSilent(nowMillis);
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -224,8 +224,18 @@
 
     private void learn(Attempt a, AttemptEnd end, long now) {
         Target t = a.target();
+        if (end.kind() == AttemptEnd.Kind.ANSWERED || end.kind() == AttemptEnd.Kind.FAILED) {
+            boolean failed = end.kind() == AttemptEnd.Kind.FAILED;
+            t.errors().note(failed);
+            mContext.errors(mPool).note(failed);
+        }
         switch (end.kind()) {
             case ANSWERED -> t.health().onSuccess(now);
+            case FAILED -> {
+                if (t.errors().standsOutOf(mContext.errors(mPool))) {
+                    t.health().onFailure(now);
+                }
+            }
             case WRONG_TARGET -> t.markGone();
             case REFUSED -> t.onRefused(now);
             default -> {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -1,5 +1,6 @@
 package org.forkseam.direct.flow;
 
+import org.forkseam.core.member.ErrorRate;
 import org.forkseam.core.outcome.ComeBack;
 import org.forkseam.core.route.CandidateFilter;
 import org.forkseam.core.route.HolderMemory;
@@ -28,6 +29,7 @@
     private final Intake mIntake;
     private final LoopLag mLag;
     private final Map<String, ComeBack> mComeBack = new HashMap<>();
+    private final Map<String, ErrorRate> mErrors = new HashMap<>();
     private final Set<RequestFlow> mFlows = new LinkedHashSet<>();
     private final Set<CallerConnection> mConnections = new LinkedHashSet<>();
     private final HolderMemory mHolders = HolderMemory.create();
@@ -97,6 +99,11 @@
         return mComeBack.computeIfAbsent(pool, p -> ComeBack.since(now()));
     }
 
+    /** Returns the share of a pool's requests that fail. */
+    ErrorRate errors(String pool) {
+        return mErrors.computeIfAbsent(pool, p -> new ErrorRate());
+    }
+
     /** Returns the watch on the event loop. */
     LoopLag lag() {
         return mLag;
