--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerServer.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerServer.java
@@ -37,25 +37,8 @@
     }
 
     private void accept(Channel ch) {
-        Arrival arrival = mContext.arrivals().next();
-        if (!arrival.isLate()) {
-            open(ch, arrival);
-            return;
-        }
-        ch.config().setAutoRead(false);
-        mContext.intake()
-                .addUnread(
-                        () -> {
-                            if (ch.isActive()) {
-                                open(ch, arrival);
-                                ch.config().setAutoRead(true);
-                            }
-                        });
-    }
-
-    private void open(Channel ch, Arrival arrival) {
         CallerLimits limits = mContext.knowledge().config().limits();
-        CallerConnection connection = new CallerConnection(mContext, arrival);
+        CallerConnection connection = new CallerConnection(mContext, mContext.arrivals().next());
         HttpDecoderConfig config =
                 new HttpDecoderConfig()
                         .setMaxInitialLineLength(limits.headerBytes())
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Intake.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Intake.java
@@ -2,11 +2,9 @@
 
 import org.forkseam.core.util.Clock;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
-import java.util.Queue;
 
 /**
  * Holds the requests that have been read until they are begun, in the order in which they came.
@@ -20,20 +18,18 @@
  * the answers of requests under way are not held up by those that follow.
  *
  * <p>Newest first was measured as well: about as many more are answered in time as then fail, since
- * the callers of the oldest leave. docs/design/deciding-under-load.md holds the figures.
+ * the callers of the oldest leave. So was leaving connections unread until there is room: a caller
+ * whose request is not read within a second gives it up. docs/design/deciding-under-load.md holds
+ * the figures.
  */
 final class Intake {
     /** The loop goes back to reading after it has begun requests for so long. Unit: ms. */
     private static final long BATCH_MILLIS = 5;
 
-    /** Connections that waited unread which are read in one turn: a millisecond of work each. */
-    private static final int READS_A_TURN = 4;
-
     private final Clock mClock;
     private final Arrivals mArrivals;
     private final Turns mTurns;
     private final List<Waiting> mWaiting = new ArrayList<>();
-    private final Queue<Runnable> mUnread = new ArrayDeque<>();
     private boolean mPlanned;
 
     /** Runs tasks on the event loop. */
@@ -110,25 +106,14 @@
                 });
     }
 
-    /**
-     * Takes a connection that waited to be accepted. Reading what is on it costs a router that has
-     * just started some two milliseconds, so it is read when those before it have been begun.
-     *
-     * @param read begins to read it
-     */
-    void addUnread(Runnable read) {
-        mUnread.add(read);
-        plan();
-    }
-
     /** Runs a task in this turn of the loop, once all that can be read was read. */
     void afterReads(Runnable task) {
         mTurns.inThisTurn(task);
     }
 
-    /** Returns the requests that wait, read or unread. */
+    /** Returns the requests that wait. */
     int size() {
-        return mWaiting.size() + mUnread.size();
+        return mWaiting.size();
     }
 
     private void onCloseSeen(Waiting w) {
@@ -157,21 +142,13 @@
         long now = mClock.nowMillis();
         mArrivals.onTurn();
         prepare();
-        boolean more = beginBatch(now) || readSome();
+        boolean more = beginBatch(now);
         if (more && !mPlanned) {
             mPlanned = true;
             mTurns.inNextTurn(this::plannedTurn);
         }
     }
 
-    /** Returns whether there is more to be read in the next turn. */
-    private boolean readSome() {
-        for (int i = 0; i < READS_A_TURN && !mUnread.isEmpty(); i++) {
-            mUnread.poll().run();
-        }
-        return !mUnread.isEmpty();
-    }
-
     private void plannedTurn() {
         mPlanned = false;
         turn();
--- a/forkseam-direct/src/test/java/org/forkseam/direct/flow/IntakeTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/flow/IntakeTest.java
@@ -149,50 +149,6 @@
         assertThat(mBegun).hasSize(6);
     }
 
-    /** Connections that waited are read in turn, a few at a time. */
-    @Test
-    void connectionsThatWaitedAreReadAFewAtATime() {
-        List<Integer> opened = new ArrayList<>();
-        for (int i = 0; i < 6; i++) {
-            int n = i;
-            mIntake.addUnread(() -> opened.add(n));
-        }
-        turn();
-        assertThat(opened).containsExactly(0, 1, 2, 3).inOrder();
-        turn();
-        assertThat(opened).containsExactly(0, 1, 2, 3, 4, 5).inOrder();
-        assertThat(mNextTurn).isEmpty();
-    }
-
-    /** Nothing more is read while what was read is still being begun. */
-    @Test
-    void whatIsReadIsBegunFirst() {
-        mBeginCosts = 3;
-        for (int i = 0; i < 4; i++) {
-            read("r" + i);
-        }
-        List<Integer> opened = new ArrayList<>();
-        mIntake.addUnread(() -> opened.add(mBegun.size()));
-        while (opened.isEmpty()) {
-            turn();
-        }
-        assertThat(opened).containsExactly(4);
-    }
-
-    /** A router that waits for knowledge reads on, so that all are told in time, and is idle. */
-    @Test
-    void aRouterWithoutKnowledgeReadsOn() {
-        mKnows = false;
-        for (int i = 0; i < 20; i++) {
-            read("r" + i);
-        }
-        List<Integer> opened = new ArrayList<>();
-        mIntake.addUnread(() -> opened.add(0));
-        turn();
-        assertThat(opened).containsExactly(0);
-        assertThat(mNextTurn).isEmpty();
-    }
-
     /** A router without knowledge does not spin; it looks again at its ticks. */
     @Test
     void whatWaitsForKnowledgeIsLookedAtByTicks() {
