Wait for the acceptor when a scripted server closes

While a thread is still inside accept, the kernel keeps the listening socket after close; a connection made in that moment comes up and is cut.

Ruled out: the port taken by another process, and a connection to itself (none of 20,000 had its own port).

Before: 28 of 20,000 connections made right after a close came up, beside load. After: 0 of 20,000 when the thread is awaited.

--- a/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
@@ -76,6 +76,7 @@
 
     private final ServerSocket mListener = new ServerSocket();
     private final Script mScript;
+    private final Thread mAcceptor;
     private final AtomicInteger mRequests = new AtomicInteger();
     private final List<Request> mSeen = new CopyOnWriteArrayList<>();
     private final List<Socket> mOpen = new CopyOnWriteArrayList<>();
@@ -83,9 +84,9 @@
     private ScriptedServer(Script script) throws IOException {
         mScript = script;
         mListener.bind(new InetSocketAddress("127.0.0.1", 0));
-        Thread t = new Thread(this::accept, "scripted");
-        t.setDaemon(true);
-        t.start();
+        mAcceptor = new Thread(this::accept, "scripted");
+        mAcceptor.setDaemon(true);
+        mAcceptor.start();
     }
 
     /** Starts a server. */
@@ -163,8 +164,21 @@
     @Override
     public void close() throws IOException {
         mListener.close();
+        awaitAcceptor();
         for (Socket s : mOpen) {
             s.close();
         }
     }
+
+    /**
+     * Until the thread that accepts has left its call, the kernel keeps the port open: 28 of 20,000
+     * connections made right after a close came up all the same, and none once this was awaited.
+     */
+    private void awaitAcceptor() {
+        try {
+            mAcceptor.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
