Tell other routers what was read, and what targets told of their load

By kind: each router waited for itself on the shared rows, and each of 33 rows written at the start woke all 33; each changed list was read by every router. And a router heard of an engine's load once in four seconds, so that it moved work away from homes with room.

Readings of load are passed on to one router chosen at random, eight times a second. Calls are counted by kind.

Ruled out: a tree or ring (one more state to agree on), telling loads to all (routers times routers), digests by a broadcast of the reader.

--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -26,6 +26,7 @@
     private TargetEntry mEntry;
     private int mInFlight;
     private int mOthers;
+    private int mLoadTold;
     private long mReadAt = NEVER;
     private long mHeardAt;
     private long mBusySince;
@@ -69,6 +70,11 @@
         return mHash;
     }
 
+    /** Returns part of the hash of its id, by which routers name it to each other. */
+    public int shortHash() {
+        return (int) mHash;
+    }
+
     // ---------------------------------------------------------------- load
 
     /** Notes a request sent to it by this router. */
@@ -96,10 +102,23 @@
 
     /** Notes the whole load that the target told, requests running and waiting. */
     public void onLoad(int load, long nowMillis) {
+        mLoadTold = load;
         mOthers = Math.max(0, load - mInFlight);
         mReadAt = nowMillis;
     }
 
+    /** Notes the whole load that the target told another router, unless a newer one is known. */
+    public void onLoadHeard(int load, long readAtMillis) {
+        if (readAtMillis > mReadAt) {
+            onLoad(load, readAtMillis);
+        }
+    }
+
+    /** Returns the whole load that the target told last, to whatever router. */
+    public int loadTold() {
+        return mLoadTold;
+    }
+
     /** Notes that it refused a request since it was full. */
     public void onRefused(long nowMillis) {
         mFullUntil = nowMillis + FULL_MILLIS;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/DirectRouter.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/DirectRouter.java
@@ -70,7 +70,10 @@
                                 settings.readiness(), settings.metrics(), settings.peers()),
                         new AdminService.Views(
                                 router::isReady,
-                                router.meters(),
+                                registry -> {
+                                    router.meters().bindTo(registry);
+                                    StoreMeters.of(knowledge).bindTo(registry);
+                                },
                                 knowledge::snapshot,
                                 OperatorPages.of(
                                         settings.host(),
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -256,7 +256,7 @@
     }
 
     private int routers() {
-        return Math.max(MIN_ROUTERS, mKnowledge.seats().routers());
+        return Math.max(MIN_ROUTERS, mKnowledge.routers());
     }
 
     private void leave(long now) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -4,31 +4,30 @@
 
 import org.forkseam.core.kernel.Service;
 import org.forkseam.core.member.Target;
-import org.forkseam.core.member.TargetChange;
 import org.forkseam.core.member.TargetDirectory;
 import org.forkseam.core.member.TargetEntry;
+import org.forkseam.core.share.LoadExchange;
+import org.forkseam.core.share.LoadReading;
 import org.forkseam.core.traffic.TrafficConfig;
 import org.forkseam.core.util.Clock;
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.FleetSource;
 import org.forkseam.direct.spi.SharedRows;
-import org.forkseam.direct.spi.SourceException;
-import org.forkseam.direct.spi.Versioned;
 
 import java.net.InetSocketAddress;
-import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 /**
- * Follows the configuration and the list of targets, and keeps the newest of each. Neither ever
- * goes back to an older version. Used on the event loop.
+ * Holds what a router knows: the configuration, the targets and their load, the seats of engine
+ * pools, and the other routers. Each is followed by a class of its own; this one brings them
+ * together and takes the messages of other routers. Used on the event loop.
  *
  * @since 0.2
  */
@@ -36,49 +35,16 @@
     /** Name of the service. */
     public static final String NAME = "knowledge";
 
-    /**
-     * A wait for a new configuration is begun anew after so long, so that a lost one is noticed.
-     */
-    private static final long WAIT_MILLIS = 1_000;
-
-    /**
-     * Another router that waits for configurations is heard each second; this allows for one loss.
-     */
-    private static final long HEARD_MILLIS = 1_150;
-
-    /** Routers read at random moments in such a span, so that mostly one reads for all. */
-    private static final long SPREAD_MILLIS = 250;
-
-    private static final long FIRST_BACKOFF_MILLIS = 100;
-    private static final long MAX_BACKOFF_MILLIS = 500;
-
     private final EventLoop mLoop;
     private final Clock mClock;
-    private final FleetSource mSource;
-    private final RandomGenerator mRandom;
-    private long mListMillis;
-    private final TargetDirectory mTargets = TargetDirectory.create();
-    private final Self mSelf;
-    private final PeerChannel mChannel;
+    private final Supplier<Map<String, Long>> mCalls;
+    private final PeerLink mLink;
     private final PeerClient mPeers;
+    private final SourceWatch mWatch = new SourceWatch(this::onSourceBack);
+    private final ConfigFollower mConfig;
+    private final TargetFollower mTargets;
     private final Seats mSeats;
-    private final Backoff mConfigBackoff = new Backoff();
-    private final Backoff mListBackoff = new Backoff();
-    private TrafficConfig mConfig = TrafficConfig.none();
-    private long mConfigRevision;
-    private long mConfigAt;
-    private long mListAt;
-    private boolean mListed;
-    private long mConfigHeardAt = Long.MIN_VALUE / 2;
-    private long mConfigReadAt = Long.MIN_VALUE;
-    private long mListReadAt = Long.MIN_VALUE;
-    private long mSourceOffset;
-    private long mListFingerprint;
-    private ScheduledFuture<?> mNextList;
-    private boolean mReadingConfig;
-    private boolean mReadingList;
     private boolean mAsking;
-    private boolean mDown;
     private boolean mStopped;
 
     /**
@@ -87,17 +53,22 @@
      * @param fleet configuration and targets
      * @param shared rows that routers share
      * @param peers addresses of other routers, IP:PORT, asked while the store cannot be
+     * @param calls tells the calls made to the store since the start, by kind
      */
-    public record Sources(FleetSource fleet, SharedRows shared, List<String> peers) {}
+    public record Sources(
+            FleetSource fleet,
+            SharedRows shared,
+            List<String> peers,
+            Supplier<Map<String, Long>> calls) {}
 
     /**
      * Names this router to the others.
      *
      * @param host name of its host
-     * @param notices where it takes notices of other routers
+     * @param notices where it takes messages of other routers
      */
     public record Self(String host, InetSocketAddress notices) {
-        private String text() {
+        String text() {
             return notices.getAddress().getHostAddress() + ":" + notices.getPort();
         }
     }
@@ -108,23 +79,17 @@
             Sources sources,
             RandomGenerator random,
             Self self,
-            long listMs) {
+            long listMillis) {
         mLoop = loop;
         mClock = clock;
-        mSource = sources.fleet();
-        mRandom = random;
-        mListMillis = listMs;
-        mSelf = self;
-        mChannel = new PeerChannel(loop, this::onNotice);
+        mCalls = sources.calls();
+        mLink = new PeerLink(loop, self, random, this::onMessage);
         mPeers = PeerClient.of(loop, clock, sources.peers());
-        mSeats =
-                new Seats(
-                        loop,
-                        clock,
-                        sources.shared(),
-                        random,
-                        new Seats.Self(self.host(), self.text()),
-                        mTargets);
+        FollowerBase.Surroundings around =
+                new FollowerBase.Surroundings(loop, clock, random, mLink, mWatch);
+        mConfig = new ConfigFollower(around, sources.fleet(), this::askPeers);
+        mTargets = new TargetFollower(around, sources.fleet(), listMillis);
+        mSeats = new Seats(around, sources.shared(), mTargets.targets());
     }
 
     /**
@@ -152,15 +117,16 @@
 
     @Override
     public CompletableFuture<Void> start() {
-        mLoop.execute(this::readConfig);
-        mLoop.execute(this::readList);
+        mLoop.execute(mConfig::start);
+        mLoop.execute(mTargets::start);
         mLoop.execute(mSeats::start);
-        mLoop.scheduleWithFixedDelay(
-                () -> mSeats.plan(mConfig),
-                mSeats.planMillis(),
-                mSeats.planMillis(),
-                TimeUnit.MILLISECONDS);
-        return mChannel.listen(mSelf.notices());
+        every(mSeats.planMillis(), () -> mSeats.plan(config()));
+        every(LoadExchange.PERIOD_MILLIS, this::tellLoads);
+        return mLink.listen();
+    }
+
+    private void every(long millis, Runnable task) {
+        mLoop.scheduleWithFixedDelay(task, millis, millis, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -168,8 +134,10 @@
         mLoop.execute(
                 () -> {
                     mStopped = true;
+                    mConfig.stop();
+                    mTargets.stop();
                     mSeats.stop();
-                    mChannel.close();
+                    mLink.close();
                 });
         return CompletableFuture.completedFuture(null);
     }
@@ -178,13 +146,17 @@
     public Object dump() {
         long now = mClock.nowMillis();
         Map<String, Object> m = new LinkedHashMap<>();
-        m.put("config_version", mConfig.version());
-        m.put("config_age_ms", now - mConfigAt);
-        m.put("routes", mConfig.routeCount());
-        m.put("list_revision", mTargets.revision());
-        m.put("list_age_ms", now - mListAt);
-        m.put("targets", mTargets.all().size());
-        m.put("source_down", mDown);
+        m.put("config_version", config().version());
+        m.put("config_age_ms", now - mConfig.confirmedAt());
+        m.put("routes", config().routeCount());
+        m.put("list_revision", targets().revision());
+        m.put("list_age_ms", now - mTargets.confirmedAt());
+        m.put("targets", targets().all().size());
+        m.put("routers", mLink.routers());
+        m.put("seats", mSeats.dump());
+        m.put("messages_sent", mLink.sent());
+        m.put("store_calls", mCalls.get());
+        m.put("source_down", mWatch.isDown());
         return m;
     }
 
@@ -192,17 +164,17 @@
 
     /** Sets the pause between two reads of the list of targets. */
     public void setListMillis(long millis) {
-        mLoop.execute(() -> mListMillis = millis);
+        mLoop.execute(() -> mTargets.setPauseMillis(millis));
     }
 
     /** Returns the newest configuration. */
     public TrafficConfig config() {
-        return mConfig;
+        return mConfig.config();
     }
 
     /** Returns the targets. */
     public TargetDirectory targets() {
-        return mTargets;
+        return mTargets.targets();
     }
 
     /** Returns the seats of engine pools. */
@@ -210,210 +182,55 @@
         return mSeats;
     }
 
-    /** Returns whether there is enough to serve callers: a configuration and a list of targets. */
-    public boolean isComplete() {
-        return mConfig.isKnown() && mListed;
+    /** Returns the number of routers known, at least this one. */
+    public int routers() {
+        return mLink.routers();
     }
 
-    /** Takes a configuration in, from whatever source, if it is newer. */
-    public void offer(TrafficConfig c, String origin) {
-        if (c.version() <= mConfig.version()) {
-            return;
-        }
-        Event.always("config_in_force")
-                .with("version", c.version())
-                .with("before", mConfig.version())
-                .with("routes", c.routeCount())
-                .with("origin", origin)
-                .log();
-        mConfig = c;
+    /** Returns the calls made to the store since the start, by kind. */
+    public Map<String, Long> storeCalls() {
+        return mCalls.get();
     }
 
-    // ---------------------------------------------------------------- configuration
-
-    private void readConfig() {
-        if (mStopped) {
-            return;
-        }
-        mSource.readConfig().whenComplete(this::onConfig);
+    /** Returns whether there is enough to serve callers: a configuration and a list of targets. */
+    public boolean isComplete() {
+        return config().isKnown() && mTargets.isListed();
     }
 
-    /**
-     * Waits for a newer configuration, unless another router does and tells what it hears: then
-     * this one only looks whether the other is still heard.
-     */
-    private void followConfig() {
+    // ---------------------------------------------------------------- other routers
+
+    private void onMessage(PeerMessage m, InetSocketAddress sender) {
         if (mStopped) {
             return;
         }
-        long quiet = mConfigHeardAt + HEARD_MILLIS - mClock.nowMillis();
-        if (quiet > 0) {
-            later(quiet + mRandom.nextLong(SPREAD_MILLIS), this::followConfig);
+        if (m instanceof PeerMessage.Loads l) {
+            LoadExchange.take(l.readings(), targets().all(), mClock.nowMillis());
             return;
         }
-        mSource.awaitConfig(mConfigRevision, WAIT_MILLIS).whenComplete(this::onConfig);
-    }
-
-    private void onConfig(Versioned<Optional<TrafficConfig>> read, Throwable failure) {
-        if (failure != null) {
-            onConfigFailure(failure);
-            return;
+        if (mWatch.isDown()) {
+            return; // what is kept through an outage is decided by reading anew
         }
-        onAnswer();
-        mConfigBackoff.reset();
-        mConfigRevision = Math.max(mConfigRevision, read.revision());
-        mConfigAt = mClock.nowMillis();
-        read.value().ifPresent(c -> offer(c, "store"));
-        mConfigReadAt = Math.max(mConfigReadAt, read.readAt());
-        tell(PeerNotice.Kind.CONFIG, read.readAt(), mConfig.version());
-        followConfig();
-    }
-
-    private void onConfigFailure(Throwable failure) {
-        boolean historyGone = failure instanceof SourceException s && s.isHistoryGone();
-        if (!historyGone) {
-            onNoAnswer(failure);
-            askPeers();
+        if (m instanceof PeerMessage.Targets t) {
+            mTargets.onNews(t.news());
+        } else if (m instanceof PeerMessage.Rows r) {
+            mSeats.follower().onMessage(r, sender);
+        } else if (m instanceof PeerNotice n) {
+            onNotice(n, sender);
         }
-        later(mConfigBackoff.next(mRandom), this::readConfig);
     }
 
-    // ---------------------------------------------------------------- targets
-
-    private void readList() {
-        if (mStopped || mReadingList) {
-            return;
-        }
-        mReadingList = true;
-        mSource.readTargets().whenComplete(this::onList);
-    }
-
-    private void onList(Versioned<List<TargetEntry>> read, Throwable failure) {
-        mReadingList = false;
-        if (failure != null) {
-            onNoAnswer(failure);
-            readListIn(mListBackoff.next(mRandom), this::readList);
-            return;
-        }
-        onAnswer();
-        mListBackoff.reset();
-        mListAt = mClock.nowMillis();
-        mListed = true;
-        mTargets.apply(read.revision(), read.value(), mListAt).forEach(this::logChange);
-        mListFingerprint = fingerprint(read.value());
-        mListReadAt = read.readAt();
-        mSourceOffset = mListAt - read.readAt();
-        tell(PeerNotice.Kind.LIST, read.readAt(), mListFingerprint);
-        readListIn(mListMillis + mRandom.nextLong(SPREAD_MILLIS), this::readListIfDue);
-    }
-
-    /** Plans the next read in place of the one planned: a read that a notice began adds none. */
-    private void readListIn(long millis, Runnable read) {
-        if (mNextList != null) {
-            mNextList.cancel(false);
-        }
-        mNextList = mLoop.schedule(read, millis, TimeUnit.MILLISECONDS);
-    }
-
-    /** Reads the list unless another router has just read the same one. */
-    private void readListIfDue() {
-        long wait = mListAt + mListMillis - mClock.nowMillis();
-        if (wait > 0) {
-            readListIn(wait + mRandom.nextLong(SPREAD_MILLIS), this::readListIfDue);
-            return;
-        }
-        readList();
-    }
-
-    private static long fingerprint(List<TargetEntry> entries) {
-        long sum = entries.size();
-        for (TargetEntry e : entries) {
-            sum += e.fingerprint(); // a sum, since the order says nothing
-        }
-        return sum;
-    }
-
-    private void logChange(TargetChange c) {
-        Event.always("target_" + c.kind().name().toLowerCase(java.util.Locale.ROOT))
-                .with("target", c.entry().id())
-                .with("pool", c.entry().pool())
-                .with("address", c.entry().address())
-                .with("list", mTargets.revision())
-                .log();
-    }
-
-    // ---------------------------------------------------------------- other routers
-
-    private void tell(PeerNotice.Kind kind, long readAt, long fingerprint) {
-        mChannel.send(new PeerNotice(kind, readAt, fingerprint), mSeats.otherRouters());
-    }
-
-    /** Takes another router's reading in place of an own one, if it is newer and the same. */
     private void onNotice(PeerNotice n, InetSocketAddress sender) {
-        if (mStopped || mDown) {
-            return;
-        }
         if (n.kind() == PeerNotice.Kind.CONFIG) {
-            onConfigNotice(n, sender);
+            mConfig.onNotice(n, sender);
         } else {
-            onListNotice(n);
-        }
-    }
-
-    private void onConfigNotice(PeerNotice n, InetSocketAddress sender) {
-        if (n.fingerprint() > mConfig.version()) {
-            readConfigNow();
-            return;
-        }
-        if (n.readAt() <= mConfigReadAt || n.fingerprint() < mConfig.version()) {
-            return;
-        }
-        mConfigReadAt = n.readAt();
-        mConfigAt = mClock.nowMillis();
-        if (goesBefore(sender)) {
-            mConfigHeardAt = mConfigAt;
-        }
-    }
-
-    /** Of two routers that wait for the same, the one with the lower address goes on. */
-    private boolean goesBefore(InetSocketAddress other) {
-        InetSocketAddress own = mSelf.notices();
-        int byHost =
-                Arrays.compareUnsigned(
-                        other.getAddress().getAddress(), own.getAddress().getAddress());
-        return byHost != 0 ? byHost < 0 : other.getPort() < own.getPort();
-    }
-
-    /**
-     * Reads beside the loop that follows the configuration, whatever that is waiting for. One read
-     * at a time: several large ones at once would fill a narrow link and none would be in time.
-     */
-    private void readConfigNow() {
-        if (mReadingConfig) {
-            return;
+            mTargets.onNotice(n);
         }
-        mReadingConfig = true;
-        mSource.readConfig()
-                .whenComplete(
-                        (read, failure) -> {
-                            mReadingConfig = false;
-                            if (failure == null) {
-                                read.value().ifPresent(c -> offer(c, "store, told by a peer"));
-                            } else {
-                                onNoAnswer(failure);
-                            }
-                        });
     }
 
-    private void onListNotice(PeerNotice n) {
-        if (n.readAt() <= mListReadAt || !mListed || mTargets.keepsMissing()) {
-            return; // what is kept for a while is decided by reading anew
-        }
-        if (n.fingerprint() == mListFingerprint) {
-            mListReadAt = n.readAt();
-            mListAt = Math.min(mClock.nowMillis(), n.readAt() + mSourceOffset);
-        } else {
-            readList();
+    private void tellLoads() {
+        List<LoadReading> readings = LoadExchange.digest(targets().all(), mClock.nowMillis());
+        if (!readings.isEmpty() && !mStopped) {
+            mLink.tellAny(new PeerMessage.Loads(readings));
         }
     }
 
@@ -432,12 +249,9 @@
             Event.of("peer_knows_nothing").with("cause", failure.getMessage()).log();
             return;
         }
-        offer(s.config(), "peer");
-        if (!s.targets().isEmpty()) {
-            mListed = true;
-            mTargets.apply(s.listRevision(), s.targets(), mClock.nowMillis())
-                    .forEach(this::logChange);
-        }
+        mConfig.offer(s.config(), "peer");
+        mTargets.onSnapshot(s.listRevision(), s.targets());
+        mSeats.follower().onSnapshot(s.rows());
     }
 
     /** Returns what this router knows, for another; empty while it knows too little to serve. */
@@ -445,47 +259,21 @@
         if (!isComplete()) {
             return Optional.empty();
         }
-        List<TargetEntry> entries = mTargets.all().stream().map(Target::entry).toList();
-        return Optional.of(PeerSnapshot.of(mConfig, mTargets.revision(), entries).write());
+        List<TargetEntry> entries = targets().all().stream().map(Target::entry).toList();
+        return Optional.of(
+                PeerSnapshot.of(config(), targets().revision(), entries, mSeats.follower().known())
+                        .write());
     }
 
     // ---------------------------------------------------------------- the source itself
 
-    private void onAnswer() {
-        if (mDown) {
-            mDown = false;
-            long now = mClock.nowMillis();
-            mTargets.onSourceBack(now, now - mListAt);
-            Event.always("store_back")
-                    .with("config", mConfig.version())
-                    .with("list_age_ms", now - mListAt)
-                    .log();
-        }
-    }
-
-    private void onNoAnswer(Throwable failure) {
-        if (!mDown) {
-            mDown = true;
-            Event.always("store_lost").with("cause", failure.getMessage()).log();
-        }
-    }
-
-    private void later(long millis, Runnable task) {
-        mLoop.schedule(task, millis, TimeUnit.MILLISECONDS);
-    }
-
-    /** Gives growing pauses between failed reads. */
-    private static final class Backoff {
-        private long mNext = FIRST_BACKOFF_MILLIS;
-
-        long next(RandomGenerator random) {
-            long pause = mNext / 2 + random.nextLong(mNext);
-            mNext = Math.min(MAX_BACKOFF_MILLIS, mNext * 2);
-            return pause;
-        }
-
-        void reset() {
-            mNext = FIRST_BACKOFF_MILLIS;
-        }
+    private void onSourceBack() {
+        long now = mClock.nowMillis();
+        long listAge = now - mTargets.confirmedAt();
+        targets().onSourceBack(now, listAge);
+        Event.always("store_back")
+                .with("config", config().version())
+                .with("list_age_ms", listAge)
+                .log();
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerChannel.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerChannel.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.know;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
@@ -8,11 +9,14 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 
+import org.forkseam.core.util.BoundedMap;
 import org.forkseam.direct.io.Addresses;
 import org.forkseam.direct.log.Event;
 
 import java.net.InetSocketAddress;
 import java.util.Collection;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 
@@ -21,11 +25,15 @@
  * it hears nothing. Used on the event loop.
  */
 final class PeerChannel {
+    /** Parsed addresses kept: three times the routers of the largest fleet reckoned with. */
+    private static final int MAX_ADDRESSES = 1_024;
+
     private final EventLoop mLoop;
-    private final BiConsumer<PeerNotice, InetSocketAddress> mListener;
+    private final BiConsumer<PeerMessage, InetSocketAddress> mListener;
+    private final Map<String, InetSocketAddress> mAddresses = BoundedMap.byAccess(MAX_ADDRESSES);
     private Channel mChannel;
 
-    PeerChannel(EventLoop loop, BiConsumer<PeerNotice, InetSocketAddress> listener) {
+    PeerChannel(EventLoop loop, BiConsumer<PeerMessage, InetSocketAddress> listener) {
         mLoop = loop;
         mListener = listener;
     }
@@ -40,8 +48,8 @@
                             @Override
                             protected void channelRead0(
                                     ChannelHandlerContext ctx, DatagramPacket p) {
-                                PeerNotice.read(p.content())
-                                        .ifPresent(n -> mListener.accept(n, p.sender()));
+                                PeerCodec.read(p.content())
+                                        .ifPresent(m -> mListener.accept(m, p.sender()));
                             }
 
                             @Override
@@ -63,14 +71,25 @@
         return bound;
     }
 
-    void send(PeerNotice notice, Collection<String> addresses) {
+    /** Sends a message, or returns false if it is too long for a datagram. */
+    boolean send(PeerMessage message, Collection<String> addresses) {
+        Optional<ByteBuf> bytes = PeerCodec.write(message);
+        if (bytes.isEmpty()) {
+            return false;
+        }
         if (mChannel == null) {
-            return;
+            return true; // nobody is told before this router listens itself
         }
         for (String a : addresses) {
-            mChannel.write(new DatagramPacket(notice.write(), Addresses.parse(a)));
+            mChannel.write(new DatagramPacket(bytes.get().retainedDuplicate(), address(a)));
         }
         mChannel.flush();
+        bytes.get().release();
+        return true;
+    }
+
+    private InetSocketAddress address(String text) {
+        return mAddresses.computeIfAbsent(text, Addresses::parse);
     }
 
     void close() {
--- /dev/null
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
@@ -0,0 +1,174 @@
+package org.forkseam.direct.know;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+
+import org.forkseam.core.member.TargetEntry;
+import org.forkseam.core.share.LoadReading;
+import org.forkseam.core.share.TargetNews;
+import org.forkseam.direct.log.Event;
+import org.forkseam.direct.spi.SharedRow;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Writes and reads the datagrams of routers.
+ *
+ * <p>A message that would be longer than a datagram should be is not written: the sender then tells
+ * only that there is something to read.
+ */
+final class PeerCodec {
+    /** What fits into one packet of the usual 1,500 bytes on any link. */
+    static final int MAX_BYTES = 1_400;
+
+    /** First byte of a datagram; another stands for another format. */
+    private static final int FORMAT = 1;
+
+    // The numbers below these are the kinds of PeerNotice.
+    private static final int TARGETS = 16;
+    private static final int ROWS = 17;
+    private static final int LOADS = 18;
+
+    private PeerCodec() {}
+
+    /** Writes a message, or returns empty if it is too long. */
+    static Optional<ByteBuf> write(PeerMessage m) {
+        ByteBuf b;
+        if (m instanceof PeerNotice n) {
+            b = n.write();
+        } else if (m instanceof PeerMessage.Targets t) {
+            b = writeTargets(t.news());
+        } else if (m instanceof PeerMessage.Rows r) {
+            b = writeRows(r);
+        } else {
+            b = writeLoads((PeerMessage.Loads) m);
+        }
+        return b.readableBytes() <= MAX_BYTES ? Optional.of(b) : Optional.empty();
+    }
+
+    /** Reads a message; empty if it is none. */
+    static Optional<PeerMessage> read(ByteBuf b) {
+        if (b.readableBytes() < 2 || b.getByte(b.readerIndex()) != FORMAT) {
+            return Optional.empty();
+        }
+        int kind = b.getByte(b.readerIndex() + 1);
+        try {
+            Optional<PeerMessage> m = read(kind, b);
+            return b.isReadable() ? Optional.empty() : m;
+        } catch (IndexOutOfBoundsException e) {
+            Event.of("peer_message").with("kind", kind).with("cause", "cut short").log();
+            return Optional.empty();
+        }
+    }
+
+    private static Optional<PeerMessage> read(int kind, ByteBuf b) {
+        return switch (kind) {
+            case TARGETS -> Optional.of(readTargets(b.skipBytes(2)));
+            case ROWS -> Optional.of(readRows(b.skipBytes(2)));
+            case LOADS -> Optional.of(readLoads(b.skipBytes(2)));
+            default -> PeerNotice.read(b).map(n -> n);
+        };
+    }
+
+    private static ByteBuf begin(int kind) {
+        return Unpooled.buffer().writeByte(FORMAT).writeByte(kind);
+    }
+
+    // ---------------------------------------------------------------- targets
+
+    private static ByteBuf writeTargets(TargetNews n) {
+        ByteBuf b = begin(TARGETS);
+        b.writeLong(n.readAt()).writeLong(n.revision()).writeLong(n.before()).writeLong(n.after());
+        b.writeShort(n.changed().size());
+        for (TargetEntry e : n.changed()) {
+            text(b, e.id());
+            text(b, e.pool());
+            text(b, e.address());
+            text(b, e.domain());
+            b.writeInt(e.slots()).writeBoolean(e.leaving());
+        }
+        b.writeShort(n.removed().size());
+        n.removed().forEach(id -> text(b, id));
+        return b;
+    }
+
+    private static PeerMessage readTargets(ByteBuf b) {
+        long readAt = b.readLong();
+        long revision = b.readLong();
+        long before = b.readLong();
+        long after = b.readLong();
+        List<TargetEntry> changed = new ArrayList<>();
+        for (int i = b.readUnsignedShort(); i > 0; i--) {
+            changed.add(
+                    new TargetEntry(
+                            text(b), text(b), text(b), text(b), b.readInt(), b.readBoolean()));
+        }
+        List<String> removed = new ArrayList<>();
+        for (int i = b.readUnsignedShort(); i > 0; i--) {
+            removed.add(text(b));
+        }
+        return new PeerMessage.Targets(
+                new TargetNews(readAt, revision, before, after, changed, removed));
+    }
+
+    // ---------------------------------------------------------------- rows
+
+    private static ByteBuf writeRows(PeerMessage.Rows r) {
+        ByteBuf b = begin(ROWS);
+        b.writeLong(r.readAt()).writeLong(r.since()).writeLong(r.until()).writeBoolean(r.whole());
+        b.writeShort(r.rows().size());
+        for (SharedRow row : r.rows()) {
+            text(b, row.key());
+            text(b, row.value());
+            b.writeLong(row.revision());
+        }
+        return b;
+    }
+
+    private static PeerMessage readRows(ByteBuf b) {
+        long readAt = b.readLong();
+        long since = b.readLong();
+        long until = b.readLong();
+        boolean whole = b.readBoolean();
+        List<SharedRow> rows = new ArrayList<>();
+        for (int i = b.readUnsignedShort(); i > 0; i--) {
+            rows.add(new SharedRow(text(b), text(b), b.readLong()));
+        }
+        return new PeerMessage.Rows(readAt, since, until, whole, rows);
+    }
+
+    // ---------------------------------------------------------------- loads
+
+    private static ByteBuf writeLoads(PeerMessage.Loads l) {
+        ByteBuf b = begin(LOADS);
+        b.writeShort(l.readings().size());
+        for (LoadReading r : l.readings()) {
+            b.writeInt(r.target()).writeShort(r.load()).writeShort(r.ageMillis());
+        }
+        return b;
+    }
+
+    private static PeerMessage readLoads(ByteBuf b) {
+        List<LoadReading> readings = new ArrayList<>();
+        for (int i = b.readUnsignedShort(); i > 0; i--) {
+            readings.add(
+                    new LoadReading(b.readInt(), b.readUnsignedShort(), b.readUnsignedShort()));
+        }
+        return new PeerMessage.Loads(readings);
+    }
+
+    // ---------------------------------------------------------------- texts
+
+    private static void text(ByteBuf b, String text) {
+        b.writeShort(ByteBufUtil.utf8Bytes(text));
+        b.writeCharSequence(text, StandardCharsets.UTF_8);
+    }
+
+    private static String text(ByteBuf b) {
+        return b.readCharSequence(b.readUnsignedShort(), StandardCharsets.UTF_8).toString();
+    }
+}
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerNotice.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerNotice.java
@@ -13,7 +13,7 @@
  * @param readAt the store's own steady clock when it was read, in milliseconds
  * @param fingerprint the configuration's version, or a hash of the list of targets
  */
-record PeerNotice(Kind kind, long readAt, long fingerprint) {
+record PeerNotice(Kind kind, long readAt, long fingerprint) implements PeerMessage {
     /** First byte of a datagram; another stands for another format. */
     private static final int FORMAT = 1;
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerSnapshot.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerSnapshot.java
@@ -9,6 +9,7 @@
 import org.forkseam.core.traffic.Route;
 import org.forkseam.core.traffic.Team;
 import org.forkseam.core.traffic.TrafficConfig;
+import org.forkseam.direct.spi.SharedRow;
 
 import java.io.IOException;
 import java.util.HashMap;
@@ -27,6 +28,7 @@
  * @param limits of the configuration
  * @param listRevision of the list of targets
  * @param targets the list
+ * @param rows those that routers share, with the seats of engine pools
  */
 record PeerSnapshot(
         long version,
@@ -35,7 +37,8 @@
         Map<String, KeyTeam> teams,
         CallerLimits limits,
         long listRevision,
-        List<TargetEntry> targets) {
+        List<TargetEntry> targets,
+        List<SharedRow> rows) {
 
     private static final int NO_PRIORITY = -1;
 
@@ -47,7 +50,8 @@
      */
     record KeyTeam(String name, int priority) {}
 
-    static PeerSnapshot of(TrafficConfig c, long listRevision, List<TargetEntry> targets) {
+    static PeerSnapshot of(
+            TrafficConfig c, long listRevision, List<TargetEntry> targets, List<SharedRow> rows) {
         Map<String, KeyTeam> teams = new HashMap<>();
         c.teamsByKey()
                 .forEach(
@@ -56,7 +60,7 @@
                                         k,
                                         new KeyTeam(t.name(), t.priority().orElse(NO_PRIORITY))));
         return new PeerSnapshot(
-                c.version(), c.routes(), c.pools(), teams, c.limits(), listRevision, targets);
+                c.version(), c.routes(), c.pools(), teams, c.limits(), listRevision, targets, rows);
     }
 
     TrafficConfig config() {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
@@ -12,7 +12,6 @@
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.SharedRow;
 import org.forkseam.direct.spi.SharedRows;
-import org.forkseam.direct.spi.Versioned;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -20,25 +19,26 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /**
- * Keeps the seats of engine pools, and the names of the other routers, in rows that all routers
- * share. Any router proposes a change by compare-and-set; none is set aside for it. Used on the
- * event loop.
+ * Keeps the seats of engine pools in rows that all routers share. Any router proposes a change by
+ * compare-and-set; none is set aside for it. Used on the event loop.
  *
  * @since 0.2
  */
 public final class Seats {
-    /** Changes are told at once; a wait is begun anew after so long to notice a lost one. */
-    private static final long WAIT_MILLIS = 5_000;
-
-    private static final long RETRY_MILLIS = 700;
-
     /** The pool is looked at so often. */
     private static final long PLAN_MILLIS = 400;
 
+    /**
+     * The router that reads for all proposes first, and the others only if nothing came of it: when
+     * all proposed alike, one call in tens took effect. Unit: milliseconds.
+     */
+    private static final long OTHERS_PLAN_MILLIS = 1_200;
+
     /** A pool without a request for so long is idle. */
     private static final long IDLE_MILLIS = 5_000;
 
@@ -47,50 +47,30 @@
 
     private static final int MAX_PREVIOUS = 256;
     private static final String SEATS = "seats/";
-    private static final String ROUTER = "router/";
 
     private final EventLoop mLoop;
     private final Clock mClock;
     private final SharedRows mRows;
     private final RandomGenerator mRandom;
-    private final String mHost;
-    private final String mAddress;
     private final TargetDirectory mTargets;
     private final Map<String, SeatTable> mTables = new HashMap<>();
     private final Map<String, Long> mRevisions = new HashMap<>();
     private final Map<String, SeatPlanner> mPlanners = new HashMap<>();
     private final Map<String, Long> mLastRequest = new HashMap<>();
     private final Map<String, String> mPrevious = BoundedMap.byInsertion(MAX_PREVIOUS);
-    private final Map<String, String> mRouters = new HashMap<>();
+    private final RowFollower mFollower;
     private final long mStarted;
-    private long mRevision;
-    private boolean mRead;
     private boolean mProposing;
     private boolean mStopped;
 
-    /**
-     * Names a router to the others.
-     *
-     * @param host name of its host
-     * @param address where it takes notices, IP:PORT
-     */
-    record Self(String host, String address) {}
-
-    Seats(
-            EventLoop loop,
-            Clock clock,
-            SharedRows rows,
-            RandomGenerator random,
-            Self self,
-            TargetDirectory targets) {
-        mLoop = loop;
-        mClock = clock;
+    Seats(FollowerBase.Surroundings around, SharedRows rows, TargetDirectory targets) {
+        mLoop = around.loop();
+        mClock = around.clock();
         mRows = rows;
-        mRandom = random;
-        mHost = self.host();
-        mAddress = self.address();
+        mRandom = around.random();
         mTargets = targets;
-        mStarted = clock.nowMillis();
+        mFollower = new RowFollower(around, rows, this::take);
+        mStarted = mClock.nowMillis();
     }
 
     // ---------------------------------------------------------------- use
@@ -117,80 +97,39 @@
         return likely;
     }
 
+    /** Returns the holders of each pool's seats. */
+    Map<String, List<String>> dump() {
+        Map<String, List<String>> m = new TreeMap<>();
+        mTables.forEach((pool, table) -> m.put(pool, table.holders()));
+        return m;
+    }
+
     /** Notes a request for a pool. */
     public void onRequest(String pool) {
         mLastRequest.put(pool, mClock.nowMillis());
     }
 
-    /** Returns the number of routers known, at least this one. */
-    public int routers() {
-        return Math.max(1, mRouters.size());
-    }
-
-    /** Returns where the other routers take notices. */
-    List<String> otherRouters() {
-        return mRouters.entrySet().stream()
-                .filter(e -> !e.getKey().equals(mHost))
-                .map(Map.Entry::getValue)
-                .toList();
-    }
-
     // ---------------------------------------------------------------- following
 
     void start() {
-        readAll();
-        mRows.put(ROUTER + mHost, mAddress).exceptionally(e -> logFailure("register", e));
-        mLoop.schedule(this::registerAgain, WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        mFollower.start();
     }
 
-    /** Removes this router's name, so that the others reckon with one router less. */
     void stop() {
         mStopped = true;
-        mRows.remove(ROUTER + mHost).exceptionally(e -> logFailure("unregister", e));
-    }
-
-    private void registerAgain() {
-        if (!mStopped && !mRouters.containsKey(mHost)) {
-            mRows.put(ROUTER + mHost, mAddress).exceptionally(e -> logFailure("register", e));
-            mLoop.schedule(this::registerAgain, WAIT_MILLIS, TimeUnit.MILLISECONDS);
-        }
-    }
-
-    private void readAll() {
-        if (!mStopped) {
-            mRows.readAll().whenComplete(this::onRows);
-        }
+        mFollower.stop();
     }
 
-    private void await() {
-        if (!mStopped) {
-            mRows.awaitChanges(mRevision, WAIT_MILLIS).whenComplete(this::onRows);
-        }
-    }
-
-    private void onRows(Versioned<List<SharedRow>> read, Throwable failure) {
-        if (failure != null) {
-            mLoop.schedule(this::readAll, RETRY_MILLIS, TimeUnit.MILLISECONDS);
-            return;
-        }
-        mRead = true;
-        mRevision = Math.max(mRevision, read.revision());
-        read.value().forEach(this::take);
-        await();
+    /** Returns what follows the rows. */
+    RowFollower follower() {
+        return mFollower;
     }
 
     private void take(SharedRow row) {
-        if (row.key().startsWith(ROUTER)) {
-            takeRouter(row);
-            return;
-        }
-        if (!row.key().startsWith(SEATS) || row.revision() == 0) {
+        if (!row.key().startsWith(SEATS)) {
             return;
         }
         String pool = row.key().substring(SEATS.length());
-        if (row.revision() <= mRevisions.getOrDefault(pool, 0L)) {
-            return;
-        }
         mRevisions.put(pool, row.revision());
         SeatTable table = SeatTable.of(Arrays.asList(row.value().split(",")));
         SeatTable before = table(pool);
@@ -216,27 +155,19 @@
         }
     }
 
-    private void takeRouter(SharedRow row) {
-        String name = row.key().substring(ROUTER.length());
-        if (row.value().isEmpty()) {
-            mRouters.remove(name);
-        } else {
-            mRouters.put(name, row.value());
-        }
-    }
-
     // ---------------------------------------------------------------- proposing
 
     /** Looks whether a pool's seats should change, and proposes it after a random moment. */
     void plan(TrafficConfig config) {
         long now = mClock.nowMillis();
-        if (!mRead || mProposing || mStopped) {
+        if (!mFollower.isRead() || mProposing || mStopped) {
             return;
         }
         for (Pool p : config.pools()) {
             if (p.engine() && next(p.name(), now).isPresent()) {
                 mProposing = true;
-                long pause = mRandom.nextLong(PLAN_MILLIS);
+                long first = mFollower.isReader() ? 0 : OTHERS_PLAN_MILLIS;
+                long pause = first + mRandom.nextLong(PLAN_MILLIS);
                 mLoop.schedule(() -> propose(p.name()), pause, TimeUnit.MILLISECONDS);
                 return;
             }
@@ -266,15 +197,14 @@
                         (row, failure) -> {
                             mProposing = false;
                             if (failure == null) {
-                                take(row);
+                                mFollower.onWritten(row);
                             } else {
-                                logFailure("seats", failure);
+                                logFailure(failure);
                             }
                         });
     }
 
-    private Void logFailure(String what, Throwable e) {
-        Event.of("shared_row_not_written").with("row", what).with("cause", e.getMessage()).log();
-        return null;
+    private static void logFailure(Throwable e) {
+        Event.of("shared_row_not_written").with("row", "seats").with("cause", e.getMessage()).log();
     }
 }
--- /dev/null
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
@@ -0,0 +1,201 @@
+package org.forkseam.direct.know;
+
+import org.forkseam.core.member.TargetChange;
+import org.forkseam.core.member.TargetDirectory;
+import org.forkseam.core.member.TargetEntry;
+import org.forkseam.core.share.TargetNews;
+import org.forkseam.direct.log.Event;
+import org.forkseam.direct.spi.FleetSource;
+import org.forkseam.direct.spi.Versioned;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.Future;
+
+/**
+ * Follows the list of targets. One router reads it for all and tells the others what has changed;
+ * who has missed a change, or hears nothing, reads for itself. Used on the event loop.
+ */
+final class TargetFollower extends FollowerBase {
+    private final FleetSource mSource;
+    private final TargetDirectory mTargets = TargetDirectory.create();
+    private final Backoff mBackoff = new Backoff();
+    private long mPauseMillis;
+    private List<TargetEntry> mList = List.of();
+    private long mFingerprint;
+    private long mReadAt = Long.MIN_VALUE;
+    private long mConfirmedAt;
+    private long mSourceOffset;
+    private boolean mListed;
+    private boolean mReading;
+    private Future<?> mNext;
+
+    /**
+     * Creates a follower that knows nothing yet.
+     *
+     * @param pauseMillis between two reads of the list, by whatever router
+     */
+    TargetFollower(Surroundings around, FleetSource source, long pauseMillis) {
+        super(around);
+        mSource = source;
+        mPauseMillis = pauseMillis;
+    }
+
+    void setPauseMillis(long millis) {
+        mPauseMillis = millis;
+    }
+
+    TargetDirectory targets() {
+        return mTargets;
+    }
+
+    /** Returns whether any list is known. */
+    boolean isListed() {
+        return mListed;
+    }
+
+    /** Returns when the list was last known to be the newest. */
+    long confirmedAt() {
+        return mConfirmedAt;
+    }
+
+    // ---------------------------------------------------------------- the store
+
+    void start() {
+        read(Telling.ALL);
+    }
+
+    /** Says whom a read is told to: only one that nobody else has made is told to all. */
+    private enum Telling {
+        ALL,
+        NOBODY
+    }
+
+    private void read(Telling telling) {
+        if (isStopped() || mReading) {
+            return;
+        }
+        mReading = true;
+        mSource.readTargets().whenComplete((list, e) -> onList(list, e, telling));
+    }
+
+    private void onList(Versioned<List<TargetEntry>> read, Throwable failure, Telling telling) {
+        mReading = false;
+        if (failure != null) {
+            watch().onNoAnswer(failure);
+            readIn(mBackoff.next(random()), this::start);
+            return;
+        }
+        watch().onAnswer();
+        mBackoff.reset();
+        long now = now();
+        mSourceOffset = now - read.readAt();
+        TargetNews news = TargetNews.between(mList, read.value(), read.readAt(), read.revision());
+        boolean first = !mListed;
+        take(read.value(), read.revision(), news.after(), now);
+        mReadAt = read.readAt();
+        if (telling == Telling.ALL) {
+            tell(news, first);
+        }
+        readIn(mPauseMillis + spread(), this::readIfDue);
+    }
+
+    private void take(List<TargetEntry> list, long revision, long fingerprint, long confirmedAt) {
+        mListed = true;
+        mConfirmedAt = confirmedAt;
+        mTargets.apply(revision, list, now()).forEach(this::logChange);
+        mList = list;
+        mFingerprint = fingerprint;
+    }
+
+    /** Plans the next read in place of the one planned: a read that a notice began adds none. */
+    private void readIn(long millis, Runnable read) {
+        if (mNext != null) {
+            mNext.cancel(false);
+        }
+        mNext = later(millis, read);
+    }
+
+    /** Reads the list unless another router has just read the same one. */
+    private void readIfDue() {
+        long wait = mConfirmedAt + mPauseMillis - now();
+        if (wait > 0) {
+            readIn(wait + spread(), this::readIfDue);
+            return;
+        }
+        read(Telling.ALL);
+    }
+
+    private void logChange(TargetChange c) {
+        Event.always("target_" + c.kind().name().toLowerCase(Locale.ROOT))
+                .with("target", c.entry().id())
+                .with("pool", c.entry().pool())
+                .with("address", c.entry().address())
+                .with("list", mTargets.revision())
+                .log();
+    }
+
+    // ---------------------------------------------------------------- other routers
+
+    private void tell(TargetNews news, boolean first) {
+        boolean changed = !first && news.before() != news.after();
+        if (changed && link().tell(new PeerMessage.Targets(news))) {
+            return;
+        }
+        link().tell(new PeerNotice(PeerNotice.Kind.LIST, news.readAt(), news.after()));
+    }
+
+    /** Takes it in that another router has read the list, and found this one's or another. */
+    void onNotice(PeerNotice n) {
+        if (isOutOfTurn(n.readAt())) {
+            return;
+        }
+        if (n.fingerprint() == mFingerprint) {
+            confirm(n.readAt());
+        } else {
+            read(Telling.NOBODY);
+        }
+    }
+
+    /** Takes it in that another router has read the list and found it changed. */
+    void onNews(TargetNews news) {
+        if (isOutOfTurn(news.readAt())) {
+            return;
+        }
+        if (news.after() == mFingerprint) {
+            confirm(news.readAt());
+            return;
+        }
+        Optional<List<TargetEntry>> list = news.applyTo(mList);
+        if (list.isEmpty() || news.revision() < mTargets.revision()) {
+            read(Telling.NOBODY);
+            return;
+        }
+        mReadAt = news.readAt();
+        take(list.get(), news.revision(), news.after(), inOwnTime(news.readAt()));
+    }
+
+    /** What is kept for a while after an outage is decided by reading anew. */
+    private boolean isOutOfTurn(long readAt) {
+        return readAt <= mReadAt || !mListed || mTargets.keepsMissing();
+    }
+
+    private void confirm(long readAt) {
+        mReadAt = readAt;
+        mConfirmedAt = inOwnTime(readAt);
+    }
+
+    private long inOwnTime(long readAt) {
+        return Math.min(now(), readAt + mSourceOffset);
+    }
+
+    /** Takes another router's list while the store cannot be read. */
+    void onSnapshot(long revision, List<TargetEntry> list) {
+        if (list.isEmpty()) {
+            return;
+        }
+        mListed = true;
+        mTargets.apply(revision, list, now()).forEach(this::logChange);
+    }
+}
--- /dev/null
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
@@ -0,0 +1,92 @@
+package org.forkseam.direct.know;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+import org.forkseam.core.member.TargetEntry;
+import org.forkseam.core.share.LoadExchange;
+import org.forkseam.core.share.LoadReading;
+import org.forkseam.core.share.TargetNews;
+import org.forkseam.direct.spi.SharedRow;
+import org.junit.jupiter.api.Test;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Tests the datagrams of routers. */
+class PeerCodecTest {
+    private static final TargetEntry ENTRY =
+            new TargetEntry("i-7f3a91c2", "forecast-lm", "10.1.0.40:8001", "hall-a", 12, true);
+    private static final PeerMessage TARGETS =
+            new PeerMessage.Targets(
+                    new TargetNews(5, 6, Long.MIN_VALUE, -1, List.of(ENTRY), List.of("i-1", "ö")));
+    private static final PeerMessage ROWS =
+            new PeerMessage.Rows(
+                    7, 8, 9, true, List.of(new SharedRow("seats/p", "i,j", 9), gone()));
+    private static final PeerMessage LOADS =
+            new PeerMessage.Loads(List.of(new LoadReading(-5, 17, 999), new LoadReading(3, 0, 0)));
+
+    private static SharedRow gone() {
+        return new SharedRow("router/h", "", 0);
+    }
+
+    private static ByteBuf written(PeerMessage m) {
+        return PeerCodec.write(m).orElseThrow();
+    }
+
+    @Test
+    void eachMessageIsReadAsItWasWritten() {
+        PeerMessage notice = new PeerNotice(PeerNotice.Kind.LIST, 3, 4);
+        for (PeerMessage m : List.of(notice, TARGETS, ROWS, LOADS)) {
+            assertThat(PeerCodec.read(written(m))).isEqualTo(Optional.of(m));
+        }
+    }
+
+    @Test
+    void aMessageCutShortOrTooLongIsNone() {
+        for (PeerMessage m : List.of(TARGETS, ROWS, LOADS)) {
+            ByteBuf whole = written(m);
+            for (int n = 0; n < whole.readableBytes(); n++) {
+                assertThat(PeerCodec.read(whole.copy(0, n)).isPresent()).isFalse();
+            }
+            ByteBuf longer = Unpooled.wrappedBuffer(whole, Unpooled.wrappedBuffer(new byte[1]));
+            assertThat(PeerCodec.read(longer).isPresent()).isFalse();
+        }
+    }
+
+    @Property(tries = 500)
+    void anyBytesAreReadWithoutAFailure(
+            @ForAll byte[] bytes, @ForAll @IntRange(min = 15, max = 19) int kind) {
+        ByteBuf b = Unpooled.buffer().writeByte(1).writeByte(kind).writeBytes(bytes);
+        PeerCodec.read(b);
+        assertThat(b.refCnt()).isEqualTo(1);
+    }
+
+    @Test
+    void whatDoesNotFitIntoADatagramIsNotWritten() {
+        List<TargetEntry> many = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            many.add(new TargetEntry("i-" + i, "pool", "10.1.0.40:8001", "hall-a", 12, false));
+        }
+        TargetNews news = TargetNews.between(List.of(), many, 1, 1);
+        assertThat(PeerCodec.write(new PeerMessage.Targets(news)).isPresent()).isFalse();
+    }
+
+    /** Eight digests a second are within the 3 KB a second that sharing may cost a router. */
+    @Test
+    void aDigestOfLoadsCostsAsReckoned() {
+        List<LoadReading> most = new ArrayList<>();
+        for (int i = 0; i < LoadExchange.MAX_READINGS; i++) {
+            most.add(new LoadReading(i, 12, 500));
+        }
+        int bytes = written(new PeerMessage.Loads(most)).readableBytes();
+        assertThat(bytes).isEqualTo(484);
+    }
+}
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
@@ -15,6 +15,7 @@
 import org.forkseam.core.traffic.RouteKind;
 import org.forkseam.core.traffic.Team;
 import org.forkseam.core.traffic.TrafficConfig;
+import org.forkseam.direct.spi.SharedRow;
 import org.junit.jupiter.api.Test;
 
 import java.util.List;
@@ -75,7 +76,9 @@
                                 "l", new Team("u", OptionalInt.empty())),
                         new CallerLimits(1, 2, 3, 4));
         TargetEntry entry = new TargetEntry("i", "p", "10.0.0.1:1", "z", 4, true);
-        PeerSnapshot read = PeerSnapshot.read(PeerSnapshot.of(c, 7, List.of(entry)).write());
+        SharedRow seats = new SharedRow("seats/p", "i,j", 5);
+        PeerSnapshot read =
+                PeerSnapshot.read(PeerSnapshot.of(c, 7, List.of(entry), List.of(seats)).write());
         assertThat(read.config().version()).isEqualTo(9);
         assertThat(read.config().routes()).containsExactly(route);
         assertThat(read.config().pools()).containsExactly(new Pool("p", 10, true));
@@ -83,5 +86,6 @@
         assertThat(read.config().limits()).isEqualTo(c.limits());
         assertThat(read.targets()).containsExactly(entry);
         assertThat(read.listRevision()).isEqualTo(7);
+        assertThat(read.rows()).containsExactly(seats);
     }
 }
