Refuse at once what has no time left for an answer

Cause: what was left of a request's time was handed down however little; with under a tenth of its objective left an answer hardly comes before the caller gives up, and the target works in vain.

Change: RequestFlow does not send such a request; one that has not run gets 503, one that may have run 502 or 504.

Ruled out: a bound of the target's own pace: it is not told to routers.

Before: RouterRulesTest#aRequestWithoutTimeForAnAnswerIsRefusedAtOnce failed, the request with 90 ms of an objective of a second was sent. After: refused, nothing reaches the target. No gain in worth is claimed; none was measured.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -34,6 +34,12 @@
     /** A request waits so long for a router that has just started; then it is refused. */
     private static final long AWAIT_KNOWLEDGE_MILLIS = 600;
 
+    /**
+     * Share of its objective that a request must have left to be sent: with less, an answer cannot
+     * come before the caller gives up, and the target works in vain.
+     */
+    private static final double LEAST_SHARE_LEFT = 0.1;
+
     /** Targets that were not reachable, after which a request is refused. */
     private static final int MAX_UNREACHABLE = 4;
 
@@ -137,6 +143,10 @@
     // ---------------------------------------------------------------- attempts
 
     private void attempt() {
+        if (mDeadline - mContext.now() < LEAST_SHARE_LEFT * mRoute.latencyMillis()) {
+            giveUp("no_time");
+            return;
+        }
         Optional<Pick> pick = mPlacement.next(mConfig, mPool);
         if (pick.isEmpty()) {
             giveUp("no_target");
