Read what was missed of the shared rows without another loop of waits

Cause: found by reading. A gap in what other routers tell began a read; when that failed (a store that had forgotten its history), all rows were read, and each such read ended in a loop of waits of its own beside the one there was.

Before: RowFollowerTest#gapsAreReadAndLeaveOneWait failed with 5 waits after four gaps.

Ruled out: that the loop there was ends by itself; it goes on for the life of the router.

Conclusion: a failed read is left to the next message, which finds the same gap.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
@@ -196,16 +196,19 @@
         }
         mCatchingUp = true;
         mRows.awaitChanges(mRevision, 0)
-                .whenComplete(
-                        (read, failure) -> {
-                            mCatchingUp = false;
-                            if (failure != null) {
-                                readAll();
-                                return;
-                            }
-                            mRevision = Math.max(mRevision, read.revision());
-                            read.value().forEach(this::take);
-                        });
+                .exceptionallyCompose(e -> mRows.readAll()) // the history may be gone
+                .whenComplete(this::onCaughtUp);
+    }
+
+    /** Leaves a failure to the next message, which finds the same gap. */
+    private void onCaughtUp(Versioned<List<SharedRow>> read, Throwable failure) {
+        mCatchingUp = false;
+        if (failure != null) {
+            Event.of("shared_rows_not_read").with("cause", failure.getMessage()).log();
+            return;
+        }
+        mRevision = Math.max(mRevision, read.revision());
+        read.value().forEach(this::take);
     }
 
     /** Takes another router's rows while the store cannot be read. */
--- /dev/null
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/RowFollowerTest.java
@@ -0,0 +1,144 @@
+package org.forkseam.direct.know;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+import org.forkseam.core.util.Clock;
+import org.forkseam.direct.spi.SharedRow;
+import org.forkseam.direct.spi.SharedRows;
+import org.forkseam.direct.spi.SourceException;
+import org.forkseam.direct.spi.Versioned;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+
+/** Tests how a router keeps up with the rows that all routers share. */
+class RowFollowerTest {
+    private static final long AWAIT_MILLIS = 5_000;
+
+    /** Longer than the pause before a router waits for rows after it has read them all. */
+    private static final long SETTLE_MILLIS = 600;
+
+    private static final InetSocketAddress OWN = new InetSocketAddress("127.0.0.1", 5_000);
+    private static final InetSocketAddress OTHER = new InetSocketAddress("127.0.0.1", 6_000);
+
+    /** Is a store whose waits never end, and whose history is gone for whoever asks. */
+    private static final class Rows implements SharedRows {
+        private final List<SharedRow> mAll = new CopyOnWriteArrayList<>();
+        private volatile int mWaits;
+        private volatile int mReads;
+
+        @Override
+        public CompletableFuture<Versioned<List<SharedRow>>> readAll() {
+            mReads++;
+            return CompletableFuture.completedFuture(new Versioned<>(10, 1, List.copyOf(mAll)));
+        }
+
+        @Override
+        public CompletableFuture<Versioned<List<SharedRow>>> awaitChanges(
+                long revision, long waitMillis) {
+            if (waitMillis == 0) {
+                return CompletableFuture.failedFuture(SourceException.historyGone());
+            }
+            mWaits++;
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<SharedRow> compareAndSet(String key, String value, long rev) {
+            return CompletableFuture.failedFuture(SourceException.of("not used"));
+        }
+
+        @Override
+        public CompletableFuture<Void> put(String key, String value) {
+            return CompletableFuture.completedFuture(null);
+        }
+
+        @Override
+        public CompletableFuture<Void> remove(String key) {
+            return CompletableFuture.completedFuture(null);
+        }
+    }
+
+    private final MultiThreadIoEventLoopGroup mGroup =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop mLoop = (EventLoop) mGroup.next();
+    private final Rows mRows = new Rows();
+    private final List<SharedRow> mTaken = new CopyOnWriteArrayList<>();
+    private final RowFollower mFollower = follower();
+
+    private RowFollower follower() {
+        SplittableRandom random = new SplittableRandom(1);
+        PeerLink link =
+                new PeerLink(mLoop, new Knowledge.Self("own", OWN), random, (m, sender) -> {});
+        FollowerBase.Surroundings around =
+                new FollowerBase.Surroundings(
+                        mLoop, Clock.steady(), random, link, new SourceWatch(() -> {}));
+        return new RowFollower(around, mRows, mTaken::add);
+    }
+
+    @AfterEach
+    void stop() {
+        mGroup.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private void onLoop(Runnable task) throws Exception {
+        mLoop.submit(task).get(AWAIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void start() throws Exception {
+        onLoop(mFollower::start);
+        Thread.sleep(SETTLE_MILLIS);
+    }
+
+    private static PeerMessage.Rows message(long since, long until, SharedRow... rows) {
+        return new PeerMessage.Rows(1, since, until, true, List.of(rows));
+    }
+
+    @Test
+    void rowsThatAreToldAreTakenWithoutAnotherRead() throws Exception {
+        start();
+        SharedRow row = new SharedRow("seats/p", "a,b", 11);
+        onLoop(() -> mFollower.onMessage(message(9, 12, row), OTHER));
+        assertThat(mTaken).containsExactly(row);
+        assertThat(mRows.mReads).isEqualTo(1);
+    }
+
+    @Test
+    void rowsToldTwiceOrTooLateChangeNothing() throws Exception {
+        start();
+        SharedRow older = new SharedRow("seats/p", "a,b", 11);
+        SharedRow newer = new SharedRow("seats/p", "a,c", 13);
+        onLoop(() -> mFollower.onMessage(message(9, 14, newer), OTHER));
+        onLoop(() -> mFollower.onMessage(message(9, 12, older), OTHER));
+        onLoop(() -> mFollower.onMessage(message(9, 14, newer), OTHER));
+        assertThat(mTaken).containsExactly(newer);
+    }
+
+    /** Each gap began another loop of waits, so that one router soon waited several times over. */
+    @Test
+    void gapsAreReadAndLeaveOneWait() throws Exception {
+        start();
+        List<SharedRow> expected = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            SharedRow row = new SharedRow("seats/p" + i, "a", 20 + i);
+            expected.add(row);
+            mRows.mAll.add(row);
+            long since = 30 + i;
+            onLoop(() -> mFollower.onMessage(message(since, since + 1), OTHER));
+        }
+        Thread.sleep(SETTLE_MILLIS);
+        assertThat(mTaken).containsExactlyElementsIn(expected);
+        assertThat(mRows.mWaits).isEqualTo(1);
+    }
+}
