Model a pool that slows down when full, and record that holding back does not pay

Tried and reverted: requests held at the routers while all places are taken, one begun for each that ends and each router's share of free places, the newest that can be in time first. Late service is better than none.

Conclusion: the model and its tests stay, the holding does not.

--- a/forkseam-core/src/test/java/org/forkseam/core/route/PoolModel.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/PoolModel.java
@@ -33,15 +33,16 @@
     private static final double COPY_SETUP_MILLIS = 1.7;
     private static final double EVENT_MILLIS = 8 * 2.2;
     private static final double FIRST_MILLIS = 53;
+    private static final double MILLIS_PER_K = 0.0175;
     private static final double WAY_MILLIS = 0.5;
     private static final double LOAD_MULTIPLE = 2;
     private static final int MARGIN = 2;
 
     /** Declares a kind of request: how many a second, its prompt, its answer and its objective. */
     enum Kind {
-        LONG(57.8, 280, 10_512, 1_300, 48, 610),
-        MIDDLE(88.3, 285, 699, 130, 36, 304),
-        SHORT(169, 364, 2_041, 360, 3, 405);
+        LONG(57.8, 280, 10_512, 1_300, 48, 610, 8_130),
+        MIDDLE(88.3, 285, 699, 130, 36, 304, 8_106),
+        SHORT(169, 364, 2_041, 360, 3, 405, 2_530);
 
         private final double mPerSecond;
         private final int mKeys;
@@ -49,14 +50,23 @@
         private final int mOwn;
         private final int mEvents;
         private final double mObjective;
-
-        Kind(double perSecond, int keys, int shared, int own, int events, double objective) {
+        private final double mDeadline;
+
+        Kind(
+                double perSecond,
+                int keys,
+                int shared,
+                int own,
+                int events,
+                double objective,
+                double deadline) {
             mPerSecond = perSecond;
             mKeys = keys;
             mShared = shared;
             mOwn = own;
             mEvents = events;
             mObjective = objective;
+            mDeadline = deadline;
         }
     }
 
@@ -74,6 +84,7 @@
     static final class Outcome {
         private int mRequests;
         private int mInTime;
+        private int mLost;
         private long mTokensReadAgain;
         private long mTokensCopied;
 
@@ -81,6 +92,10 @@
             return (double) mInTime / mRequests;
         }
 
+        int lost() {
+            return mLost;
+        }
+
         long tokensCopied() {
             return mTokensCopied;
         }
@@ -189,10 +204,16 @@
         o.mRequests++;
         String key = kind + "-" + mRandom.nextInt(kind.mKeys);
         List<Target> targets = mRouters.get(mRandom.nextInt(mRouters.size()));
-        PickRequest request = new PickRequest(key, kind.mShared, mSeats);
+        send(new Work(kind, key, mRouters.indexOf(targets), mNow, o));
+    }
+
+    private void send(Work w) {
+        List<Target> targets = mRouters.get(w.mRouter);
+        PickRequest request = new PickRequest(w.mKey, w.mKind.mShared, mSeats);
         Target t = mPicker.pick(request, targets, (long) mNow).orElseThrow().target();
         t.onSent((long) mNow);
-        Work w = new Work(kind, key, t, mEngines.get(targets.indexOf(t)), mNow, o);
+        w.mTarget = t;
+        w.mEngine = mEngines.get(targets.indexOf(t));
         at(mNow + WAY_MILLIS, () -> w.mEngine.take(w));
     }
 
@@ -217,16 +238,16 @@
     private static final class Work {
         private final Kind mKind;
         private final String mKey;
-        private final Target mTarget;
-        private final Engine mEngine;
+        private final int mRouter;
         private final double mCameAt;
         private final Outcome mOutcome;
+        private Target mTarget;
+        private Engine mEngine;
 
-        Work(Kind kind, String key, Target target, Engine engine, double cameAt, Outcome o) {
+        Work(Kind kind, String key, int router, double cameAt, Outcome o) {
             mKind = kind;
             mKey = key;
-            mTarget = target;
-            mEngine = engine;
+            mRouter = router;
             mCameAt = cameAt;
             mOutcome = o;
         }
@@ -237,6 +258,7 @@
         private final Deque<Work> mQueue = new ArrayDeque<>();
         private final Set<String> mRead = new HashSet<>();
         private int mRunning;
+        private int mContext;
         private double mReaderFreeAt;
 
         int load() {
@@ -253,6 +275,7 @@
 
         private void begin(Work w) {
             mRunning++;
+            mContext += w.mKind.mShared + w.mKind.mOwn;
             double busy = w.mKind.mOwn / TOKENS_PER_MILLI;
             if (mRead.add(w.mKey)) {
                 busy += bring(w);
@@ -279,13 +302,18 @@
             if (mNow - w.mCameAt <= w.mKind.mObjective) {
                 w.mOutcome.mInTime++;
             }
+            if (mNow - w.mCameAt > w.mKind.mDeadline) {
+                w.mOutcome.mLost++;
+            }
             w.mTarget.onLoad(load(), (long) mNow);
-            at(mNow + w.mKind.mEvents * EVENT_MILLIS, () -> end(w));
+            double event = EVENT_MILLIS + 8 * MILLIS_PER_K * mContext / 1_000;
+            at(mNow + w.mKind.mEvents * event, () -> end(w));
         }
 
         private void end(Work w) {
             w.mTarget.onEnded();
             mRunning--;
+            mContext -= w.mKind.mShared + w.mKind.mOwn;
             if (!mQueue.isEmpty()) {
                 begin(mQueue.poll());
             }
