Explain in the code what sharing buys, and reckon its bytes anew

Ruled out: a change of behaviour; the compiled code is the same but for line numbers. Before and after: none. Conclusion: documents.

--- a/forkseam-core/src/main/java/org/forkseam/core/route/HomePicker.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/HomePicker.java
@@ -36,7 +36,9 @@
     /**
      * Bound on the load of a target that has no place free for sure, as a multiple of the mean and
      * requests above that. A request that waits there waits for whole answers of others, while a
-     * copy of its prompt costs another target some ten milliseconds.
+     * copy of its prompt costs another target some ten milliseconds. On a day with five seconds of
+     * three times the load it was worth 0.03 of 0.6, one run; tighter bounds copied twice as much
+     * in the model of that load and had as many in time.
      */
     private static final double FULL_MULTIPLE = 1.2;
 
--- a/forkseam-core/src/main/java/org/forkseam/core/share/HolderExchange.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/share/HolderExchange.java
@@ -14,7 +14,8 @@
  * are full, keys are served elsewhere for a while; the routers that did not send them there then
  * copy from a target that does not have the prompt, or from none. On a day of two crashes of a
  * quarter of the pool each and eight joining targets, of 2.7 million shared tokens that were read
- * again 2.3 million stood in the memory of a target that lived.
+ * again 2.3 million were sent where another target had read them, as far as the routers' lines
+ * tell; once routers told each other, 1.7 million were read again.
  *
  * <p>A fact is passed on a few times by each router that learns it, each time to another chosen at
  * random, so that it reaches nearly all; what a router sends has a bound whatever happens. Not
--- a/forkseam-core/src/main/java/org/forkseam/core/share/LoadExchange.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/share/LoadExchange.java
@@ -17,7 +17,9 @@
  * seconds, so that by itself a router knows next to nothing of the load that decides where its
  * requests wait. Each router therefore sends the newest readings it has, its own and others', to
  * one other router chosen at random, some times a second. A reading reaches all within a few
- * rounds, and what a router sends and receives does not grow with the number of routers.
+ * rounds, and what a router sends and receives does not grow with the number of routers. In the
+ * model of such a fleet it takes two thirds of the shared tokens that are read again off calm
+ * seconds.
  *
  * <p>Holds no state: readings stand in the {@link Target}s, where a newer one replaces an older.
  *
@@ -25,8 +27,8 @@
  */
 public final class LoadExchange {
     /**
-     * Pause between two digests. Eight a second of at most 60 readings are 3 KB a second and
-     * router, the most that sharing may cost. Unit: milliseconds.
+     * Pause between two digests. Eight a second of 42 readings are 3 KB a second, and of the most 4
+     * KB. Unit: milliseconds.
      */
     public static final long PERIOD_MILLIS = 125;
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
@@ -16,8 +16,9 @@
  * Follows the rows that routers share, and keeps this router's own row there. One router waits for
  * changes and tells the others the rows that changed. Used on the event loop.
  *
- * <p>When every router waited for itself, each row that one wrote at its start woke all others:
- * 1,000 of the 1,640 calls that 33 routers made on a day without changes.
+ * <p>When every router waited for itself, each row that one wrote at its start woke all others.
+ * With changes of the list told as well, 33 routers made 501 calls in place of 1,643 on a day of 53
+ * seconds with few changes, and 2,528 in place of 5,237 on one with many.
  */
 final class RowFollower extends FollowerBase {
     /** Names the rows by which routers know each other; a host's name follows. */
