--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -35,8 +35,9 @@
     private static final long AWAIT_KNOWLEDGE_MILLIS = 600;
 
     /**
-     * Share of its objective that a request must have left to be sent: with less, an answer cannot
-     * come before the caller gives up, and the target works in vain.
+     * Share of its objective that a request must have left to be sent: with less, an answer hardly
+     * comes before the caller gives up, and the target works in vain. Origin: the operators, who do
+     * not count such an attempt as one; what it saves was not measured.
      */
     private static final double LEAST_SHARE_LEFT = 0.1;
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
@@ -34,8 +34,9 @@
     private static final long PLAN_MILLIS = 400;
 
     /**
-     * The router that reads for all proposes first, and the others only if nothing came of it: when
-     * all proposed alike, one call in tens took effect. Unit: milliseconds.
+     * The router that reads for all proposes first, and the others only if nothing came of it: of
+     * several proposals one takes effect, and each is a call. Three times the pause between two
+     * looks at the pool; not measured by itself. Unit: milliseconds.
      */
     private static final long OTHERS_PLAN_MILLIS = 1_200;
 
