Serve evacuations of failure domains

Cause: operators ask by a row of their table that nothing more be sent to a failure domain's targets; routers read only the configuration's row.

Targets of an evacuated domain stay members with their seats and take no work. Shown by get, top, dump and explain; a log line and a counter at each change.

Ruled out: another feed for evacuations (a call a second more); marking the targets as leaving (their seats would go to newcomers and their prompts be read again).

--- a/forkseam-cli/src/main/java/org/forkseam/cli/ViewCommands.java
+++ b/forkseam-cli/src/main/java/org/forkseam/cli/ViewCommands.java
@@ -103,7 +103,15 @@
                 t.print(c.out());
                 return;
             }
-            Table t = new Table("TARGET", "DOMAIN", "LOAD", "CAPACITY", "LEAVING", "LABELS");
+            Table t =
+                    new Table(
+                            "TARGET",
+                            "DOMAIN",
+                            "LOAD",
+                            "CAPACITY",
+                            "LEAVING",
+                            "EVACUATED",
+                            "LABELS");
             for (String n : Commands.names(found)) {
                 JsonNode v = found.path(n);
                 t.add(
@@ -112,6 +120,7 @@
                         v.path("load"),
                         v.path("capacity"),
                         v.path("leaving"),
+                        v.path("evacuated").asBoolean(false),
                         labels(v.path("labels")));
             }
             t.print(c.out());
@@ -181,7 +190,16 @@
             if (c.json()) {
                 return c.print(fleet.path("pools"));
             }
-            Table t = new Table("POOL", "TARGET", "LOAD", "MEAN", "BOUND", "HEALTH", "LEAVING");
+            Table t =
+                    new Table(
+                            "POOL",
+                            "TARGET",
+                            "LOAD",
+                            "MEAN",
+                            "BOUND",
+                            "HEALTH",
+                            "LEAVING",
+                            "EVACUATED");
             for (String p : Commands.names(fleet.path("pools"))) {
                 JsonNode pool = fleet.path("pools").path(p);
                 double mean =
@@ -197,7 +215,8 @@
                             String.format("%.1f", mean),
                             String.format("%.1f", bound),
                             v.path("health"),
-                            v.path("leaving"));
+                            v.path("leaving"),
+                            v.path("evacuated").asBoolean(false));
                 }
             }
             t.print(c.out());
--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -32,6 +32,7 @@
     private long mBusySince;
     private long mFullUntil;
     private boolean mGone;
+    private boolean mEvacuated;
 
     private Target(TargetEntry entry) {
         mEntry = entry;
@@ -60,11 +61,26 @@
         mGone = true;
     }
 
-    /** Returns whether it may get new work as far as its entry says. */
-    public boolean takesWork() {
+    /** Notes whether operators have asked to send nothing to its failure domain. */
+    public void setEvacuated(boolean evacuated) {
+        mEvacuated = evacuated;
+    }
+
+    /** Returns whether operators have asked to send nothing to its failure domain. */
+    public boolean isEvacuated() {
+        return mEvacuated;
+    }
+
+    /** Returns whether it stays in its pool as far as its entry says. */
+    public boolean stays() {
         return !mGone && !mEntry.leaving();
     }
 
+    /** Returns whether it may get new work: it stays, and its domain is not evacuated. */
+    public boolean takesWork() {
+        return stays() && !mEvacuated;
+    }
+
     /** Returns the hash of its id. */
     public long hash() {
         return mHash;
--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Keeps the targets that this router knows, by the newest list it has read.
@@ -40,6 +41,7 @@
     private final Map<String, List<Target>> mByPool = new HashMap<>();
     private final Map<Integer, Target> mByShortHash = new HashMap<>();
     private final BoundedMap<String, Lingering> mLingering = BoundedMap.byInsertion(MAX_LINGERING);
+    private Set<String> mEvacuated = Set.of();
     private boolean mKeepsMissing;
     private long mRevision = -1;
     private long mKeepMissingUntil = Long.MIN_VALUE;
@@ -58,6 +60,16 @@
         }
     }
 
+    /** Takes in which failure domains get no new work; their targets stay in their pools. */
+    public void setEvacuated(Set<String> domains) {
+        mEvacuated = domains;
+        mById.values().forEach(this::markEvacuated);
+    }
+
+    private void markEvacuated(Target t) {
+        t.setEvacuated(mEvacuated.contains(t.entry().domain()));
+    }
+
     /**
      * Takes a list in and returns what it changed; a list older than one already taken is ignored.
      *
@@ -90,11 +102,14 @@
     private Optional<TargetChange> take(TargetEntry e) {
         Target known = mById.get(e.id());
         if (known == null) {
-            mById.put(e.id(), Target.of(e));
+            Target joined = Target.of(e);
+            markEvacuated(joined);
+            mById.put(e.id(), joined);
             return Optional.of(new TargetChange(e, TargetChange.Kind.JOINED));
         }
         boolean nowLeaving = e.leaving() && !known.entry().leaving();
         known.update(e);
+        markEvacuated(known);
         return nowLeaving
                 ? Optional.of(new TargetChange(e, TargetChange.Kind.LEAVING))
                 : Optional.empty();
--- a/forkseam-core/src/main/java/org/forkseam/core/route/SeatPlanner.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/SeatPlanner.java
@@ -21,6 +21,9 @@
  *   <li>else it serves what others cannot take, and gets a seat after a while.
  * </ul>
  *
+ * <p>A target whose failure domain is evacuated keeps its seat: its keys are served by the next in
+ * their order, and come back to a target that may still have their prompts.
+ *
  * <p>Used on one thread; the plan itself is agreed upon elsewhere, by compare-and-set.
  *
  * @since 0.2
@@ -53,7 +56,7 @@
     public Optional<SeatTable> next(
             SeatTable now, List<Target> pool, boolean idle, long nowMillis) {
         Map<String, Target> usable = new HashMap<>();
-        pool.stream().filter(Target::takesWork).forEach(t -> usable.put(t.entry().id(), t));
+        pool.stream().filter(Target::stays).forEach(t -> usable.put(t.entry().id(), t));
         note(now, usable, nowMillis);
         SeatTable next = now;
         for (Target t : newcomers(now, usable)) {
--- a/forkseam-core/src/test/java/org/forkseam/core/member/TargetDirectoryTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/member/TargetDirectoryTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 
 import java.util.List;
+import java.util.Set;
 
 /** Tests what is believed of targets by the lists read. */
 class TargetDirectoryTest {
@@ -84,4 +85,17 @@
         assertThat(mDirectory.apply(3, List.of(), 2))
                 .containsExactly(new TargetChange(entry("a", true), TargetChange.Kind.GONE));
     }
+
+    @Test
+    void targetsOfAnEvacuatedDomainStayAndTakeNoWork() {
+        mDirectory.apply(1, List.of(entry("a", false)), 0);
+        mDirectory.setEvacuated(Set.of("z"));
+        mDirectory.apply(2, List.of(entry("a", false), entry("late", false)), 10);
+        assertThat(takesWork("a")).isFalse();
+        assertThat(takesWork("late")).isFalse();
+        assertThat(mDirectory.find("a").orElseThrow().stays()).isTrue();
+        mDirectory.setEvacuated(Set.of("other"));
+        assertThat(takesWork("a")).isTrue();
+        assertThat(takesWork("late")).isTrue();
+    }
 }
--- a/forkseam-core/src/test/java/org/forkseam/core/route/CandidateFilterTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/CandidateFilterTest.java
@@ -25,6 +25,17 @@
         assertThat(mFilter.of(pool, Set.of("t1"), 0).targets()).containsExactly(pool.get(2));
     }
 
+    /** Not even where nothing else is left: operators have asked for it. */
+    @Test
+    void evacuatedTargetsAreAlwaysLeftOut() {
+        List<Target> pool = Targets.ready(3);
+        pool.forEach(t -> t.setEvacuated(true));
+        assertThat(mFilter.of(pool, Set.of(), 0).targets()).isEmpty();
+        pool.get(2).setEvacuated(false);
+        makeSick(pool.get(2), 100);
+        assertThat(mFilter.of(pool, Set.of(), 200).targets()).containsExactly(pool.get(2));
+    }
+
     @Test
     void sickTargetsAreLeftOutWhileMostAreWell() {
         List<Target> pool = Targets.ready(4);
--- a/forkseam-core/src/test/java/org/forkseam/core/route/SeatPlannerTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/SeatPlannerTest.java
@@ -38,6 +38,17 @@
         assertThat(mPlanner.next(t, pool, false, 1_000)).isEqualTo(Optional.empty());
     }
 
+    /** Its keys come back to what it has read, though a newcomer was there to take the seat. */
+    @Test
+    void anEvacuatedTargetKeepsItsSeat() {
+        List<Target> pool = Targets.ready(3);
+        SeatTable t = seated(pool);
+        pool.add(Targets.ready("new"));
+        assertThat(mPlanner.next(t, pool, false, 1_000)).isEqualTo(Optional.empty());
+        pool.get(1).setEvacuated(true);
+        assertThat(mPlanner.next(t, pool, false, 1_500)).isEqualTo(Optional.empty());
+    }
+
     @Test
     void newcomerTakesTheSeatOfATargetThatLeaves() {
         List<Target> pool = Targets.ready(3);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/StoreMeters.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/StoreMeters.java
@@ -1,14 +1,15 @@
 package org.forkseam.direct;
 
 import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.binder.MeterBinder;
 
 import org.forkseam.direct.know.Knowledge;
 
 /**
- * Counts the calls made to the store, by kind: each has its price. Kinds of call that are first
- * made after the registry is bound are counted in the state dump only.
+ * Counts what a router asks of the store and learns from it. Calls are counted by kind, as each has
+ * its price; kinds that are first made after the registry is bound stand in the state dump only.
  */
 final class StoreMeters implements MeterBinder {
     private final Knowledge mKnowledge;
@@ -28,6 +29,11 @@
                     .tag("kind", kind)
                     .register(registry);
         }
+        FunctionCounter.builder(
+                        "forkseam.evacuations.changes", mKnowledge, Knowledge::evacuationChanges)
+                .register(registry);
+        Gauge.builder("forkseam.evacuations", mKnowledge, k -> k.evacuated().size())
+                .register(registry);
     }
 
     private static double calls(Knowledge k, String kind) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/admin/OperatorPages.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/admin/OperatorPages.java
@@ -122,6 +122,7 @@
         }
         Map<String, Object> out = new LinkedHashMap<>();
         out.put("config_version", mKnowledge.config().version());
+        out.put("evacuated", mKnowledge.evacuated());
         out.put("pools", pools);
         out.put("targets", targets);
         return out;
@@ -135,7 +136,8 @@
         m.put("load_age_ms", t.readingAgeMillis(now));
         m.put("capacity", t.entry().slots());
         m.put("health", t.health().share(now));
-        m.put("leaving", !t.takesWork());
+        m.put("leaving", !t.stays());
+        m.put("evacuated", t.isEvacuated());
         m.put("labels", Map.of("pool", t.entry().pool(), "failure_domain", t.entry().domain()));
         return m;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -150,7 +150,7 @@
         }
         Optional<Pick> pick = mPlacement.next(mConfig, mPool);
         if (pick.isEmpty()) {
-            giveUp("no_target");
+            giveUp(mPlacement.whyNone(mPool));
             return;
         }
         Target t = pick.get().target();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
@@ -65,6 +65,13 @@
         return pick;
     }
 
+    /** Says why there is no target that this request could be sent to. */
+    String whyNone(String pool) {
+        boolean evacuated =
+                mContext.knowledge().targets().pool(pool).stream().anyMatch(Target::isEvacuated);
+        return evacuated ? "evacuated" : "no_target";
+    }
+
     private TargetPicker picker(TrafficConfig config, String pool) {
         boolean engine = config.pool(pool).map(Pool::engine).orElse(false);
         return engine ? mContext.placing().engines() : mContext.placing().services();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigFollower.java
@@ -1,18 +1,25 @@
 package org.forkseam.direct.know;
 
+import org.forkseam.core.member.Evacuations;
 import org.forkseam.core.share.ReaderRole;
 import org.forkseam.core.traffic.TrafficConfig;
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.FleetSource;
+import org.forkseam.direct.spi.OperatorState;
 import org.forkseam.direct.spi.SourceException;
 import org.forkseam.direct.spi.Versioned;
 
 import java.net.InetSocketAddress;
-import java.util.Optional;
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
 
 /**
- * Follows the operators' configuration, and never goes back to an older one. One router waits for
- * changes and tells the others, which read at once. Used on the event loop.
+ * Follows what operators write: the configuration, of which it never goes back to an older one, and
+ * the failure domains that are evacuated. One router waits for changes of both in one call and
+ * tells the others: a new configuration by its version, which they then read, evacuations by name.
+ * Used on the event loop.
  */
 final class ConfigFollower extends FollowerBase {
     /**
@@ -25,8 +32,12 @@
      */
     private static final long HEARD_MILLIS = 1_150;
 
+    /** Evacuated domains that a log line names; there are as many as operators write. */
+    private static final int MAX_LOGGED = 20;
+
     private final FleetSource mSource;
-    private final Runnable mOnIgnorant;
+    private final Listener mListener;
+    private final Evacuations mEvacuations = Evacuations.create();
     private final ReaderRole mRole = ReaderRole.of(HEARD_MILLIS);
     private final Backoff mBackoff = new Backoff();
     private TrafficConfig mConfig = TrafficConfig.none();
@@ -35,21 +46,31 @@
     private long mReadAt = Long.MIN_VALUE;
     private boolean mReadingNow;
 
-    /**
-     * Creates a follower that knows nothing yet.
-     *
-     * @param onIgnorant is run when the store gives no answer
-     */
-    ConfigFollower(Surroundings around, FleetSource source, Runnable onIgnorant) {
+    /** Is told of what is learned here. */
+    interface Listener {
+        /** Is called when the store gives no answer. */
+        void onIgnorant();
+
+        /** Is called with all evacuated failure domains when they have changed. */
+        void onEvacuated(Set<String> domains);
+    }
+
+    /** Creates a follower that knows nothing yet. */
+    ConfigFollower(Surroundings around, FleetSource source, Listener listener) {
         super(around);
         mSource = source;
-        mOnIgnorant = onIgnorant;
+        mListener = listener;
     }
 
     TrafficConfig config() {
         return mConfig;
     }
 
+    /** Returns the evacuated failure domains. */
+    Evacuations evacuations() {
+        return mEvacuations;
+    }
+
     /** Returns when the configuration was last known to be the newest. */
     long confirmedAt() {
         return mConfirmedAt;
@@ -69,11 +90,32 @@
         mConfig = c;
     }
 
+    /** Takes all evacuated domains in, from whatever source, if they are not older. */
+    void offerEvacuations(long revision, Collection<String> domains, String origin) {
+        if (mEvacuations.replace(revision, domains)) {
+            onEvacuationsChanged(origin);
+        }
+    }
+
+    private void onEvacuationsChanged(String origin) {
+        mListener.onEvacuated(mEvacuations.domains());
+        Event.always("evacuations")
+                .with("domains", first(mEvacuations.domains()))
+                .with("count", mEvacuations.domains().size())
+                .with("revision", mEvacuations.revision())
+                .with("origin", origin)
+                .log();
+    }
+
+    private static List<String> first(Set<String> domains) {
+        return domains.stream().limit(MAX_LOGGED).toList();
+    }
+
     // ---------------------------------------------------------------- the store
 
     void start() {
         if (!isStopped()) {
-            mSource.readConfig().whenComplete(this::onConfig);
+            mSource.readOperators().whenComplete((read, e) -> onRead(read, e, this::takeAll));
         }
     }
 
@@ -90,10 +132,14 @@
             later(quiet + spread(), this::follow);
             return;
         }
-        mSource.awaitConfig(mRevision, WAIT_MILLIS).whenComplete(this::onConfig);
+        mSource.awaitOperators(mRevision, WAIT_MILLIS)
+                .whenComplete((read, e) -> onRead(read, e, this::takeChanges));
     }
 
-    private void onConfig(Versioned<Optional<TrafficConfig>> read, Throwable failure) {
+    private void onRead(
+            Versioned<OperatorState> read,
+            Throwable failure,
+            Consumer<Versioned<OperatorState>> take) {
         if (failure != null) {
             onFailure(failure);
             return;
@@ -102,17 +148,43 @@
         mBackoff.reset();
         mRevision = Math.max(mRevision, read.revision());
         mConfirmedAt = now();
-        read.value().ifPresent(c -> offer(c, "store"));
+        take.accept(read);
         mReadAt = Math.max(mReadAt, read.readAt());
-        link().tell(new PeerNotice(PeerNotice.Kind.CONFIG, read.readAt(), mConfig.version()));
+        tell(read);
         follow();
     }
 
+    private void takeAll(Versioned<OperatorState> read) {
+        read.value().config().ifPresent(c -> offer(c, "store"));
+        offerEvacuations(read.revision(), read.value().evacuated(), "store");
+    }
+
+    private void takeChanges(Versioned<OperatorState> read) {
+        OperatorState s = read.value();
+        s.config().ifPresent(c -> offer(c, "store"));
+        if (mEvacuations.change(read.revision(), s.evacuated(), s.returned())) {
+            onEvacuationsChanged("store");
+        }
+    }
+
+    private void tell(Versioned<OperatorState> read) {
+        PeerMessage.Operators m =
+                new PeerMessage.Operators(
+                        read.readAt(),
+                        mEvacuations.revision(),
+                        mConfig.version(),
+                        mEvacuations.fingerprint(),
+                        List.copyOf(mEvacuations.domains()));
+        if (!link().tell(m)) {
+            link().tell(m.withoutDomains());
+        }
+    }
+
     private void onFailure(Throwable failure) {
         boolean historyGone = failure instanceof SourceException s && s.isHistoryGone();
         if (!historyGone) {
             watch().onNoAnswer(failure);
-            mOnIgnorant.run();
+            mListener.onIgnorant();
         }
         later(mBackoff.next(random()), this::start);
     }
@@ -120,15 +192,24 @@
     // ---------------------------------------------------------------- other routers
 
     /** Takes another router's reading in place of an own one, if it is newer and the same. */
-    void onNotice(PeerNotice n, InetSocketAddress sender) {
-        if (n.fingerprint() > mConfig.version()) {
+    void onMessage(PeerMessage.Operators m, InetSocketAddress sender) {
+        if (m.isWhole()) {
+            offerEvacuations(m.revision(), m.evacuated(), "peer");
+        }
+        if (watch().isDown()) {
+            return; // it cannot be read, and what is kept is decided by reading anew
+        }
+        boolean missesDomains =
+                m.revision() >= mEvacuations.revision()
+                        && m.fingerprint() != mEvacuations.fingerprint();
+        if (m.version() > mConfig.version() || missesDomains) {
             readNow();
             return;
         }
-        if (n.readAt() <= mReadAt || n.fingerprint() < mConfig.version()) {
+        if (m.readAt() <= mReadAt || m.version() < mConfig.version()) {
             return;
         }
-        mReadAt = n.readAt();
+        mReadAt = m.readAt();
         mConfirmedAt = now();
         if (link().goesBefore(sender)) {
             mRole.onHeard(mConfirmedAt);
@@ -136,20 +217,20 @@
     }
 
     /**
-     * Reads beside the loop that follows the configuration, whatever that is waiting for. One read
-     * at a time: several large ones at once would fill a narrow link and none would be in time.
+     * Reads beside the loop that follows the operators, whatever that is waiting for. One read at a
+     * time: several large ones at once would fill a narrow link and none would be in time.
      */
     private void readNow() {
         if (mReadingNow) {
             return;
         }
         mReadingNow = true;
-        mSource.readConfig()
+        mSource.readOperators()
                 .whenComplete(
                         (read, failure) -> {
                             mReadingNow = false;
                             if (failure == null) {
-                                read.value().ifPresent(c -> offer(c, "store, told by a peer"));
+                                takeAll(read);
                             } else {
                                 watch().onNoAnswer(failure);
                             }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -49,6 +50,7 @@
     private final Seats mSeats;
     private final HolderMemory mHolders = HolderMemory.create();
     private final HolderExchange mHolderNews = HolderExchange.create();
+    private long mEvacuationChanges;
     private boolean mAsking;
     private boolean mStopped;
 
@@ -92,8 +94,8 @@
         mPeers = PeerClient.of(loop, clock, sources.peers());
         FollowerBase.Surroundings around =
                 new FollowerBase.Surroundings(loop, clock, random, mLink, mWatch);
-        mConfig = new ConfigFollower(around, sources.fleet(), this::askPeers);
         mTargets = new TargetFollower(around, sources.fleet(), listMillis);
+        mConfig = new ConfigFollower(around, sources.fleet(), new OperatorListener());
         mSeats = new Seats(around, sources.shared(), mTargets.targets());
     }
 
@@ -154,6 +156,7 @@
         m.put("config_version", config().version());
         m.put("config_age_ms", now - mConfig.confirmedAt());
         m.put("routes", config().routeCount());
+        m.put("evacuated", evacuated());
         m.put("list_revision", targets().revision());
         m.put("list_age_ms", now - mTargets.confirmedAt());
         m.put("targets", targets().all().size());
@@ -177,6 +180,16 @@
         return mConfig.config();
     }
 
+    /** Returns the failure domains that operators have asked to send nothing to. */
+    public Set<String> evacuated() {
+        return mConfig.evacuations().domains();
+    }
+
+    /** Returns how often the evacuated failure domains have changed since the start. */
+    public long evacuationChanges() {
+        return mEvacuationChanges;
+    }
+
     /** Returns the targets. */
     public TargetDirectory targets() {
         return mTargets.targets();
@@ -225,6 +238,10 @@
             onLearned(l);
             return;
         }
+        if (m instanceof PeerMessage.Operators o) {
+            mConfig.onMessage(o, sender);
+            return;
+        }
         if (mWatch.isDown()) {
             return; // what is kept through an outage is decided by reading anew
         }
@@ -233,15 +250,21 @@
         } else if (m instanceof PeerMessage.Rows r) {
             mSeats.follower().onMessage(r, sender);
         } else if (m instanceof PeerNotice n) {
-            onNotice(n, sender);
+            mTargets.onNotice(n);
         }
     }
 
-    private void onNotice(PeerNotice n, InetSocketAddress sender) {
-        if (n.kind() == PeerNotice.Kind.CONFIG) {
-            mConfig.onNotice(n, sender);
-        } else {
-            mTargets.onNotice(n);
+    /** Takes in what the follower of the operators learns. */
+    private final class OperatorListener implements ConfigFollower.Listener {
+        @Override
+        public void onIgnorant() {
+            askPeers();
+        }
+
+        @Override
+        public void onEvacuated(Set<String> domains) {
+            mEvacuationChanges++;
+            targets().setEvacuated(domains);
         }
     }
 
@@ -283,6 +306,7 @@
             return;
         }
         mConfig.offer(s.config(), "peer");
+        mConfig.offerEvacuations(s.evacuations().revision(), s.evacuations().domains(), "peer");
         mTargets.onSnapshot(s.listRevision(), s.targets());
         mSeats.follower().onSnapshot(s.rows());
     }
@@ -294,7 +318,12 @@
         }
         List<TargetEntry> entries = targets().all().stream().map(Target::entry).toList();
         return Optional.of(
-                PeerSnapshot.of(config(), targets().revision(), entries, mSeats.follower().known())
+                PeerSnapshot.of(
+                                config(),
+                                targets().revision(),
+                                entries,
+                                mSeats.follower().known(),
+                                mConfig.evacuations())
                         .write());
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
@@ -33,6 +33,7 @@
     private static final int TARGETS = 16;
     private static final int ROWS = 17;
     private static final int LEARNED = 18;
+    private static final int OPERATORS = 19;
 
     private PeerCodec() {}
 
@@ -41,6 +42,8 @@
         ByteBuf b;
         if (m instanceof PeerNotice n) {
             b = n.write();
+        } else if (m instanceof PeerMessage.Operators o) {
+            b = writeOperators(o);
         } else if (m instanceof PeerMessage.Targets t) {
             b = writeTargets(t.news());
         } else if (m instanceof PeerMessage.Rows r) {
@@ -68,6 +71,7 @@
 
     private static Optional<PeerMessage> read(int kind, ByteBuf b) {
         return switch (kind) {
+            case OPERATORS -> Optional.of(readOperators(b.skipBytes(2)));
             case TARGETS -> Optional.of(readTargets(b.skipBytes(2)));
             case ROWS -> Optional.of(readRows(b.skipBytes(2)));
             case LEARNED -> Optional.of(readLearned(b.skipBytes(2)));
@@ -79,6 +83,21 @@
         return Unpooled.buffer().writeByte(FORMAT).writeByte(kind);
     }
 
+    // ---------------------------------------------------------------- operators
+
+    private static ByteBuf writeOperators(PeerMessage.Operators o) {
+        ByteBuf b = begin(OPERATORS);
+        b.writeLong(o.readAt()).writeLong(o.revision()).writeLong(o.version());
+        b.writeLong(o.fingerprint());
+        writeTexts(b, o.evacuated());
+        return b;
+    }
+
+    private static PeerMessage readOperators(ByteBuf b) {
+        return new PeerMessage.Operators(
+                b.readLong(), b.readLong(), b.readLong(), b.readLong(), readTexts(b));
+    }
+
     // ---------------------------------------------------------------- targets
 
     private static ByteBuf writeTargets(TargetNews n) {
@@ -92,8 +111,7 @@
             text(b, e.domain());
             b.writeInt(e.slots()).writeBoolean(e.leaving());
         }
-        b.writeShort(n.removed().size());
-        n.removed().forEach(id -> text(b, id));
+        writeTexts(b, n.removed());
         return b;
     }
 
@@ -108,12 +126,8 @@
                     new TargetEntry(
                             text(b), text(b), text(b), text(b), b.readInt(), b.readBoolean()));
         }
-        List<String> removed = new ArrayList<>();
-        for (int i = b.readUnsignedShort(); i > 0; i--) {
-            removed.add(text(b));
-        }
         return new PeerMessage.Targets(
-                new TargetNews(readAt, revision, before, after, changed, removed));
+                new TargetNews(readAt, revision, before, after, changed, readTexts(b)));
     }
 
     // ---------------------------------------------------------------- rows
@@ -171,6 +185,19 @@
 
     // ---------------------------------------------------------------- texts
 
+    private static void writeTexts(ByteBuf b, List<String> texts) {
+        b.writeShort(texts.size());
+        texts.forEach(t -> text(b, t));
+    }
+
+    private static List<String> readTexts(ByteBuf b) {
+        List<String> out = new ArrayList<>();
+        for (int i = b.readUnsignedShort(); i > 0; i--) {
+            out.add(text(b));
+        }
+        return out;
+    }
+
     private static void text(ByteBuf b, String text) {
         b.writeShort(ByteBufUtil.utf8Bytes(text));
         b.writeCharSequence(text, StandardCharsets.UTF_8);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
@@ -1,5 +1,6 @@
 package org.forkseam.direct.know;
 
+import org.forkseam.core.member.Evacuations;
 import org.forkseam.core.share.HolderFact;
 import org.forkseam.core.share.LoadReading;
 import org.forkseam.core.share.TargetNews;
@@ -9,7 +10,36 @@
 
 /** Is what routers tell each other in datagrams. */
 sealed interface PeerMessage
-        permits PeerNotice, PeerMessage.Targets, PeerMessage.Rows, PeerMessage.Learned {
+        permits PeerNotice,
+                PeerMessage.Operators,
+                PeerMessage.Targets,
+                PeerMessage.Rows,
+                PeerMessage.Learned {
+    /**
+     * Tells what operators have written, as it has just been read. Of a configuration only the
+     * version: it can be a megabyte.
+     *
+     * @param readAt the store's own steady clock when it was read, in milliseconds
+     * @param revision the store's when it was read
+     * @param version of the configuration
+     * @param fingerprint of the evacuated failure domains
+     * @param evacuated these domains; none if they are too many for a message, which the
+     *     fingerprint then shows
+     */
+    record Operators(
+            long readAt, long revision, long version, long fingerprint, List<String> evacuated)
+            implements PeerMessage {
+        /** Returns whether the message holds all evacuated domains. */
+        boolean isWhole() {
+            return Evacuations.fingerprint(evacuated) == fingerprint;
+        }
+
+        /** Returns the same message without the domains. */
+        Operators withoutDomains() {
+            return new Operators(readAt, revision, version, fingerprint, List.of());
+        }
+    }
+
     /**
      * Tells what a newer list of targets changed, and that it has just been read.
      *
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerNotice.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerNotice.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 
+import java.util.Arrays;
 import java.util.Optional;
 
 /**
@@ -11,7 +12,7 @@
  *
  * @param kind what was read
  * @param readAt the store's own steady clock when it was read, in milliseconds
- * @param fingerprint the configuration's version, or a hash of the list of targets
+ * @param fingerprint a hash of what was read
  */
 record PeerNotice(Kind kind, long readAt, long fingerprint) implements PeerMessage {
     /** First byte of a datagram; another stands for another format. */
@@ -21,16 +22,24 @@
 
     /** Says what was read. */
     enum Kind {
-        /** The configuration. */
-        CONFIG,
         /** The list of targets. */
-        LIST
+        LIST(1);
+
+        private final int mCode;
+
+        Kind(int code) {
+            mCode = code;
+        }
+
+        private static Optional<Kind> of(int code) {
+            return Arrays.stream(values()).filter(k -> k.mCode == code).findFirst();
+        }
     }
 
     ByteBuf write() {
         return Unpooled.buffer(BYTES)
                 .writeByte(FORMAT)
-                .writeByte(kind.ordinal())
+                .writeByte(kind.mCode)
                 .writeLong(readAt)
                 .writeLong(fingerprint);
     }
@@ -40,10 +49,6 @@
         if (b.readableBytes() != BYTES || b.readByte() != FORMAT) {
             return Optional.empty();
         }
-        int kind = b.readByte();
-        if (kind < 0 || kind >= Kind.values().length) {
-            return Optional.empty();
-        }
-        return Optional.of(new PeerNotice(Kind.values()[kind], b.readLong(), b.readLong()));
+        return Kind.of(b.readByte()).map(k -> new PeerNotice(k, b.readLong(), b.readLong()));
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerSnapshot.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerSnapshot.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
+import org.forkseam.core.member.Evacuations;
 import org.forkseam.core.member.TargetEntry;
 import org.forkseam.core.traffic.CallerLimits;
 import org.forkseam.core.traffic.Pool;
@@ -29,6 +30,7 @@
  * @param listRevision of the list of targets
  * @param targets the list
  * @param rows those that routers share, with the seats of engine pools
+ * @param evacuations failure domains that get no new work
  */
 record PeerSnapshot(
         long version,
@@ -38,10 +40,23 @@
         CallerLimits limits,
         long listRevision,
         List<TargetEntry> targets,
-        List<SharedRow> rows) {
+        List<SharedRow> rows,
+        KnownEvacuations evacuations) {
 
     private static final int NO_PRIORITY = -1;
 
+    /**
+     * Holds the evacuated failure domains.
+     *
+     * @param revision the store's that they are known of, or -1
+     * @param domains their names
+     */
+    record KnownEvacuations(long revision, List<String> domains) {
+        static KnownEvacuations of(Evacuations e) {
+            return new KnownEvacuations(e.revision(), List.copyOf(e.domains()));
+        }
+    }
+
     /**
      * Holds a team in a form that the JSON library writes.
      *
@@ -51,7 +66,11 @@
     record KeyTeam(String name, int priority) {}
 
     static PeerSnapshot of(
-            TrafficConfig c, long listRevision, List<TargetEntry> targets, List<SharedRow> rows) {
+            TrafficConfig c,
+            long listRevision,
+            List<TargetEntry> targets,
+            List<SharedRow> rows,
+            Evacuations evacuations) {
         Map<String, KeyTeam> teams = new HashMap<>();
         c.teamsByKey()
                 .forEach(
@@ -60,7 +79,15 @@
                                         k,
                                         new KeyTeam(t.name(), t.priority().orElse(NO_PRIORITY))));
         return new PeerSnapshot(
-                c.version(), c.routes(), c.pools(), teams, c.limits(), listRevision, targets, rows);
+                c.version(),
+                c.routes(),
+                c.pools(),
+                teams,
+                c.limits(),
+                listRevision,
+                targets,
+                rows,
+                KnownEvacuations.of(evacuations));
     }
 
     TrafficConfig config() {
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
@@ -26,6 +26,8 @@
 class PeerCodecTest {
     private static final TargetEntry ENTRY =
             new TargetEntry("i-7f3a91c2", "forecast-lm", "10.1.0.40:8001", "hall-a", 12, true);
+    private static final PeerMessage OPERATORS =
+            new PeerMessage.Operators(1, 2, 3, -4, List.of("hall-a", "ö"));
     private static final PeerMessage TARGETS =
             new PeerMessage.Targets(
                     new TargetNews(5, 6, Long.MIN_VALUE, -1, List.of(ENTRY), List.of("i-1", "ö")));
@@ -48,14 +50,14 @@
     @Test
     void eachMessageIsReadAsItWasWritten() {
         PeerMessage notice = new PeerNotice(PeerNotice.Kind.LIST, 3, 4);
-        for (PeerMessage m : List.of(notice, TARGETS, ROWS, LEARNED)) {
+        for (PeerMessage m : List.of(notice, OPERATORS, TARGETS, ROWS, LEARNED)) {
             assertThat(PeerCodec.read(written(m))).isEqualTo(Optional.of(m));
         }
     }
 
     @Test
     void aMessageCutShortOrTooLongIsNone() {
-        for (PeerMessage m : List.of(TARGETS, ROWS, LEARNED)) {
+        for (PeerMessage m : List.of(OPERATORS, TARGETS, ROWS, LEARNED)) {
             ByteBuf whole = written(m);
             for (int n = 0; n < whole.readableBytes(); n++) {
                 assertThat(PeerCodec.read(whole.copy(0, n)).isPresent()).isFalse();
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
@@ -7,6 +7,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 
+import org.forkseam.core.member.Evacuations;
 import org.forkseam.core.member.TargetEntry;
 import org.forkseam.core.traffic.CallerLimits;
 import org.forkseam.core.traffic.Pool;
@@ -77,8 +78,11 @@
                         new CallerLimits(1, 2, 3, 4));
         TargetEntry entry = new TargetEntry("i", "p", "10.0.0.1:1", "z", 4, true);
         SharedRow seats = new SharedRow("seats/p", "i,j", 5);
+        Evacuations evacuations = Evacuations.create();
+        evacuations.replace(12, List.of("z"));
         PeerSnapshot read =
-                PeerSnapshot.read(PeerSnapshot.of(c, 7, List.of(entry), List.of(seats)).write());
+                PeerSnapshot.read(
+                        PeerSnapshot.of(c, 7, List.of(entry), List.of(seats), evacuations).write());
         assertThat(read.config().version()).isEqualTo(9);
         assertThat(read.config().routes()).containsExactly(route);
         assertThat(read.config().pools()).containsExactly(new Pool("p", 10, true));
@@ -87,5 +91,7 @@
         assertThat(read.targets()).containsExactly(entry);
         assertThat(read.listRevision()).isEqualTo(7);
         assertThat(read.rows()).containsExactly(seats);
+        assertThat(read.evacuations().revision()).isEqualTo(12);
+        assertThat(read.evacuations().domains()).containsExactly("z");
     }
 }
