Give newcomers seats when many requests leave their homes

A newcomer with an added seat now copies from the next in the key's order, which had the key before; it read it again.

--- a/forkseam-core/src/main/java/org/forkseam/core/route/SeatPlanner.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/SeatPlanner.java
@@ -17,7 +17,8 @@
  *
  * <ul>
  *   <li>a newcomer takes the seat of a target that leaves while it is there, at once;
- *   <li>it gets a seat of its own while the pool is idle, or when the pool is loaded;
+ *   <li>it gets a seat of its own while the pool is idle, when the pool is loaded, or when many
+ *       requests leave their homes: they are copied or read again anyway;
  *   <li>else it serves what others cannot take, and gets a seat after a while.
  * </ul>
  *
@@ -41,6 +42,16 @@
     private final Map<String, Long> mFirstSeen = new HashMap<>();
     private final Map<Integer, Long> mVacantSince = new HashMap<>();
 
+    /** Says what a pool's requests show. */
+    public enum Demand {
+        /** There were none for a while: to move keys costs nothing. */
+        IDLE,
+        /** Most find room at their homes. */
+        BALANCED,
+        /** Many leave their homes: the seats do not fit the pool. */
+        SPILLING
+    }
+
     private SeatPlanner() {}
 
     /** Creates a planner for one pool. */
@@ -51,16 +62,16 @@
     /**
      * Returns the table that should follow, or empty if the present one should stay.
      *
-     * @param idle whether the pool has had no requests for a while
+     * @param demand what the pool's requests show
      */
     public Optional<SeatTable> next(
-            SeatTable now, List<Target> pool, boolean idle, long nowMillis) {
+            SeatTable now, List<Target> pool, Demand demand, long nowMillis) {
         Map<String, Target> usable = new HashMap<>();
         pool.stream().filter(Target::stays).forEach(t -> usable.put(t.entry().id(), t));
         note(now, usable, nowMillis);
         SeatTable next = now;
         for (Target t : newcomers(now, usable)) {
-            next = seat(next, t, usable, idle, nowMillis);
+            next = seat(next, t, usable, demand, nowMillis);
         }
         return next.equals(now) ? Optional.empty() : Optional.of(next);
     }
@@ -92,10 +103,10 @@
     }
 
     private SeatTable seat(
-            SeatTable table, Target t, Map<String, Target> usable, boolean idle, long nowMillis) {
+            SeatTable table, Target t, Map<String, Target> usable, Demand demand, long nowMillis) {
         String id = t.entry().id();
         boolean waited = nowMillis - mFirstSeen.get(id) > WAIT_MILLIS;
-        boolean anySeat = idle || waited || isLoaded(table, usable, nowMillis);
+        boolean anySeat = demand != Demand.BALANCED || waited || isLoaded(table, usable, nowMillis);
         for (int i = 0; i < table.holders().size(); i++) {
             if (usable.containsKey(table.holders().get(i))) {
                 continue;
--- a/forkseam-core/src/test/java/org/forkseam/core/route/BurstTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/BurstTest.java
@@ -45,7 +45,7 @@
     private static final double READING_MILLIS_340 = 1_000;
 
     private static PoolModel fleet(long seed) {
-        PoolModel m = new PoolModel(new PoolModel.Setup(33, 42, 12, true), seed);
+        PoolModel m = new PoolModel(new PoolModel.Setup(PoolModel.Fleet.LARGE, 33, 42, true), seed);
         m.play(8, 1); // prompts are read, and routers have heard of most engines
         return m;
     }
@@ -92,7 +92,7 @@
     /** What a router sends does not grow with the number of routers, and readings reach all. */
     @Test
     void readingsReachAllOfTenTimesAsManyRouters() {
-        PoolModel m = new PoolModel(new PoolModel.Setup(340, 42, 12, true), 14);
+        PoolModel m = new PoolModel(new PoolModel.Setup(PoolModel.Fleet.LARGE, 340, 42, true), 14);
         m.play(4, 1);
         assertThat(m.meanReadingAge()).isLessThan(READING_MILLIS_340);
     }
--- a/forkseam-core/src/test/java/org/forkseam/core/route/SeatPlannerTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/SeatPlannerTest.java
@@ -19,7 +19,7 @@
     private final SeatPlanner mPlanner = SeatPlanner.create();
 
     private SeatTable seated(List<Target> pool) {
-        return mPlanner.next(SeatTable.empty(), pool, true, 0).orElseThrow();
+        return mPlanner.next(SeatTable.empty(), pool, SeatPlanner.Demand.IDLE, 0).orElseThrow();
     }
 
     @Test
@@ -27,7 +27,8 @@
         List<Target> pool = Targets.ready(5);
         SeatTable t = seated(pool);
         assertThat(t.holders()).containsExactly("t0", "t1", "t2", "t3", "t4");
-        assertThat(mPlanner.next(t, pool, false, 10)).isEqualTo(Optional.empty());
+        assertThat(mPlanner.next(t, pool, SeatPlanner.Demand.BALANCED, 10))
+                .isEqualTo(Optional.empty());
     }
 
     @Test
@@ -35,7 +36,8 @@
         List<Target> pool = Targets.ready(3);
         SeatTable t = seated(pool);
         pool.add(Targets.ready("new"));
-        assertThat(mPlanner.next(t, pool, false, 1_000)).isEqualTo(Optional.empty());
+        assertThat(mPlanner.next(t, pool, SeatPlanner.Demand.BALANCED, 1_000))
+                .isEqualTo(Optional.empty());
     }
 
     /** Its keys come back to what it has read, though a newcomer was there to take the seat. */
@@ -44,9 +46,11 @@
         List<Target> pool = Targets.ready(3);
         SeatTable t = seated(pool);
         pool.add(Targets.ready("new"));
-        assertThat(mPlanner.next(t, pool, false, 1_000)).isEqualTo(Optional.empty());
+        assertThat(mPlanner.next(t, pool, SeatPlanner.Demand.BALANCED, 1_000))
+                .isEqualTo(Optional.empty());
         pool.get(1).setEvacuated(true);
-        assertThat(mPlanner.next(t, pool, false, 1_500)).isEqualTo(Optional.empty());
+        assertThat(mPlanner.next(t, pool, SeatPlanner.Demand.BALANCED, 1_500))
+                .isEqualTo(Optional.empty());
     }
 
     @Test
@@ -54,9 +58,10 @@
         List<Target> pool = Targets.ready(3);
         SeatTable t = seated(pool);
         pool.add(Targets.ready("new"));
-        assertThat(mPlanner.next(t, pool, false, 1_000)).isEqualTo(Optional.empty());
+        assertThat(mPlanner.next(t, pool, SeatPlanner.Demand.BALANCED, 1_000))
+                .isEqualTo(Optional.empty());
         Targets.leave(pool.get(1));
-        SeatTable next = mPlanner.next(t, pool, false, 1_500).orElseThrow();
+        SeatTable next = mPlanner.next(t, pool, SeatPlanner.Demand.BALANCED, 1_500).orElseThrow();
         assertThat(next.holders()).containsExactly("t0", "new", "t2").inOrder();
     }
 
@@ -65,9 +70,11 @@
         List<Target> pool = Targets.ready(3);
         SeatTable t = seated(pool);
         Targets.leave(pool.get(1));
-        assertThat(mPlanner.next(t, pool, false, 1_000)).isEqualTo(Optional.empty());
+        assertThat(mPlanner.next(t, pool, SeatPlanner.Demand.BALANCED, 1_000))
+                .isEqualTo(Optional.empty());
         pool.add(Targets.ready("new"));
-        assertThat(mPlanner.next(t, pool, false, 9_000)).isEqualTo(Optional.empty());
+        assertThat(mPlanner.next(t, pool, SeatPlanner.Demand.BALANCED, 9_000))
+                .isEqualTo(Optional.empty());
     }
 
     @Test
@@ -76,10 +83,20 @@
         SeatTable t = seated(pool);
         pool.forEach(p -> Targets.load(p, 40));
         pool.add(Targets.ready("new"));
-        SeatTable next = mPlanner.next(t, pool, false, 1_000).orElseThrow();
+        SeatTable next = mPlanner.next(t, pool, SeatPlanner.Demand.BALANCED, 1_000).orElseThrow();
         assertThat(next.holders()).containsExactly("t0", "t1", "new").inOrder();
     }
 
+    @Test
+    void newcomersOfAPoolOutOfBalanceGetSeatsAllAtOnce() {
+        List<Target> pool = Targets.ready(2);
+        SeatTable t = seated(pool);
+        pool.add(Targets.ready("new-a"));
+        pool.add(Targets.ready("new-b"));
+        SeatTable next = mPlanner.next(t, pool, SeatPlanner.Demand.SPILLING, 1_000).orElseThrow();
+        assertThat(next.holders()).containsExactly("t0", "t1", "new-a", "new-b").inOrder();
+    }
+
     @Property(tries = 200)
     void takingASeatMovesNoOtherKey(
             @ForAll @IntRange(min = 2, max = 20) int size,
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
@@ -61,10 +61,15 @@
         PickRequest request =
                 new PickRequest(mKey, mSharedTokens, mContext.knowledge().seats().table(pool));
         Optional<Pick> pick = picker(config, pool).pick(request, c.targets(), now);
-        pick.ifPresent(p -> mTried.add(p.target().entry().id()));
+        pick.ifPresent(p -> onPick(pool, p));
         return pick;
     }
 
+    private void onPick(String pool, Pick p) {
+        mTried.add(p.target().entry().id());
+        mContext.knowledge().seats().onPick(pool, p.reason());
+    }
+
     /** Says why there is no target that this request could be sent to. */
     String whyNone(String pool) {
         boolean evacuated =
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
@@ -3,8 +3,10 @@
 import io.netty.channel.EventLoop;
 
 import org.forkseam.core.member.TargetDirectory;
+import org.forkseam.core.route.Pick;
 import org.forkseam.core.route.SeatPlanner;
 import org.forkseam.core.route.SeatTable;
+import org.forkseam.core.route.SpillShare;
 import org.forkseam.core.traffic.Pool;
 import org.forkseam.core.traffic.TrafficConfig;
 import org.forkseam.core.util.BoundedMap;
@@ -16,9 +18,11 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -58,6 +62,8 @@
     private final Map<String, Long> mRevisions = new HashMap<>();
     private final Map<String, SeatPlanner> mPlanners = new HashMap<>();
     private final Map<String, Long> mLastRequest = new HashMap<>();
+    private final Map<String, SpillShare> mSpills = new HashMap<>();
+    private final Set<String> mAddedWhileBusy = new HashSet<>();
     private final Map<String, String> mPrevious = BoundedMap.byInsertion(MAX_PREVIOUS);
     private final RowFollower mFollower;
     private final long mStarted;
@@ -84,17 +90,27 @@
     /**
      * Returns the targets that are likely to have read the prompt of a key, the likeliest first.
      * That is the first in the key's order; if that one has taken its seat from another, it is the
-     * other, or those next in the order, which served the key while the seat was vacant.
+     * other, or those next in the order, which served the key while the seat was vacant; if its
+     * seat was added, it is the next, which had the key before.
      */
     public List<String> likelyHolders(String pool, long keyHash) {
         List<String> order = table(pool).order(keyHash);
-        String previous = order.isEmpty() ? null : mPrevious.get(order.get(0));
-        if (previous == null) {
+        if (order.isEmpty()) {
+            return order;
+        }
+        String previous = mPrevious.get(order.get(0));
+        if (previous == null && !mAddedWhileBusy.contains(order.get(0))) {
             return order;
         }
         List<String> likely = new ArrayList<>(order);
-        likely.add(Math.min(NEXT_IN_ORDER, likely.size() - 1), likely.remove(0));
-        likely.add(0, previous);
+        if (previous != null) {
+            likely.add(Math.min(NEXT_IN_ORDER, likely.size() - 1), likely.remove(0));
+            likely.add(0, previous);
+        } else {
+            // Several seats are added at once: none of those has read the prompt.
+            likely.removeIf(mAddedWhileBusy::contains);
+            likely.add(Math.min(NEXT_IN_ORDER, likely.size()), order.get(0));
+        }
         return likely;
     }
 
@@ -106,7 +122,8 @@
         List<String> order = table(pool).order(keyHash);
         return !order.isEmpty()
                 && order.get(0).equals(targetId)
-                && !mPrevious.containsKey(targetId);
+                && !mPrevious.containsKey(targetId)
+                && !mAddedWhileBusy.contains(targetId);
     }
 
     /** Returns the holders of each pool's seats. */
@@ -121,6 +138,15 @@
         mLastRequest.put(pool, mClock.nowMillis());
     }
 
+    /** Notes why a target of an engine pool was chosen. */
+    public void onPick(String pool, Pick.Reason reason) {
+        spills(pool).onPick(reason, mClock.nowMillis());
+    }
+
+    private SpillShare spills(String pool) {
+        return mSpills.computeIfAbsent(pool, p -> SpillShare.since(mClock.nowMillis()));
+    }
+
     // ---------------------------------------------------------------- following
 
     void start() {
@@ -148,6 +174,7 @@
         mTables.put(pool, table);
         if (!table.equals(before)) {
             notePrevious(before, table);
+            noteAdded(pool, before, table);
             Event.always("seats")
                     .with("pool", pool)
                     .with("revision", row.revision())
@@ -167,6 +194,25 @@
         }
     }
 
+    /** Notes the holders of seats that were added while the pool had requests. */
+    private void noteAdded(String pool, SeatTable before, SeatTable after) {
+        int known = before.holders().size();
+        if (known > 0 && mLastRequest.containsKey(pool)) {
+            mAddedWhileBusy.addAll(
+                    after.holders()
+                            .subList(
+                                    Math.min(known, after.holders().size()),
+                                    after.holders().size()));
+        }
+        mAddedWhileBusy.retainAll(allHolders());
+    }
+
+    private Set<String> allHolders() {
+        Set<String> all = new HashSet<>();
+        mTables.values().forEach(t -> all.addAll(t.holders()));
+        return all;
+    }
+
     // ---------------------------------------------------------------- proposing
 
     /** Looks whether a pool's seats should change, and proposes it after a random moment. */
@@ -193,8 +239,13 @@
     private Optional<SeatTable> next(String pool, long now) {
         SeatPlanner planner = mPlanners.computeIfAbsent(pool, p -> SeatPlanner.create());
         long last = Math.max(mStarted, mLastRequest.getOrDefault(pool, mStarted));
-        boolean idle = now - last > IDLE_MILLIS;
-        return planner.next(table(pool), mTargets.pool(pool), idle, now);
+        SeatPlanner.Demand demand = SeatPlanner.Demand.BALANCED;
+        if (now - last > IDLE_MILLIS) {
+            demand = SeatPlanner.Demand.IDLE;
+        } else if (spills(pool).isOutOfBalance(now)) {
+            demand = SeatPlanner.Demand.SPILLING;
+        }
+        return planner.next(table(pool), mTargets.pool(pool), demand, now);
     }
 
     private void propose(String pool) {
