Send cold targets no more than they bear

Cause: targets that start during traffic, or come back from an evacuation, bear few requests for a while (23 a second here) and fall over above. Nothing read that they are cold. 23 routers share the limit without a message.

Change: a target's cold time is decoded and bounded; each router sends its share of the limit within any second, by its rank in an order that each target has of the routers; none while the routers are not known.

Ruled out: token buckets (each starts full: as many requests as routers at once); the slack of 5 as part of the limit (it is needed for routers that do not know each other: with two unknown at each of 23 routers the sum is at most 38 of 39).

--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -33,6 +33,8 @@
     private long mFullUntil;
     private boolean mGone;
     private boolean mEvacuated;
+    private long mReturnedAt = NEVER;
+    private long mColdUntil = NEVER;
 
     private Target(TargetEntry entry) {
         mEntry = entry;
@@ -44,6 +46,13 @@
         return new Target(entry);
     }
 
+    /** Creates the state of a target that was not known before, and may be cold from now on. */
+    public static Target of(TargetEntry entry, long nowMillis) {
+        Target t = of(entry);
+        t.noteCold(nowMillis);
+        return t;
+    }
+
     // ---------------------------------------------------------------- what it is
 
     /** Returns its newest entry. */
@@ -52,8 +61,17 @@
     }
 
     /** Takes a newer entry of the same target. */
-    public void update(TargetEntry entry) {
+    public void update(TargetEntry entry, long nowMillis) {
+        boolean isNews = entry.coldMillis() != mEntry.coldMillis();
         mEntry = entry;
+        if (isNews) {
+            noteCold(nowMillis);
+        }
+    }
+
+    /** Counts from now on, not from the target's word: it may have been late, never early. */
+    private void noteCold(long nowMillis) {
+        mColdUntil = mEntry.coldMillis() > 0 ? nowMillis + mEntry.coldMillis() : NEVER;
     }
 
     /** Marks it as gone: it gets no new work any more. */
@@ -62,7 +80,10 @@
     }
 
     /** Notes whether operators have asked to send nothing to its failure domain. */
-    public void setEvacuated(boolean evacuated) {
+    public void setEvacuated(boolean evacuated, long nowMillis) {
+        if (mEvacuated && !evacuated) {
+            mReturnedAt = nowMillis;
+        }
         mEvacuated = evacuated;
     }
 
@@ -91,6 +112,16 @@
         return (int) mHash;
     }
 
+    /**
+     * Returns whether it may be cold: by its own word, or since its failure domain has come back
+     * from an evacuation so short a while ago that its word may still be under way.
+     *
+     * @param coldMillis for how long targets of its pool stay cold
+     */
+    public boolean isCold(long coldMillis, long nowMillis) {
+        return nowMillis < mColdUntil || nowMillis - mReturnedAt < coldMillis;
+    }
+
     // ---------------------------------------------------------------- load
 
     /** Notes a request sent to it by this router. */
--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
@@ -61,13 +61,13 @@
     }
 
     /** Takes in which failure domains get no new work; their targets stay in their pools. */
-    public void setEvacuated(Set<String> domains) {
+    public void setEvacuated(Set<String> domains, long nowMillis) {
         mEvacuated = domains;
-        mById.values().forEach(this::markEvacuated);
+        mById.values().forEach(t -> markEvacuated(t, nowMillis));
     }
 
-    private void markEvacuated(Target t) {
-        t.setEvacuated(mEvacuated.contains(t.entry().domain()));
+    private void markEvacuated(Target t, long nowMillis) {
+        t.setEvacuated(mEvacuated.contains(t.entry().domain()), nowMillis);
     }
 
     /**
@@ -84,7 +84,7 @@
         Map<String, TargetEntry> listed = new HashMap<>();
         for (TargetEntry e : entries) {
             listed.put(e.id(), e);
-            take(e).ifPresent(changes::add);
+            take(e, now).ifPresent(changes::add);
         }
         if (now >= mKeepMissingUntil) {
             removeMissing(listed, changes, now);
@@ -99,17 +99,17 @@
         return mKeepsMissing;
     }
 
-    private Optional<TargetChange> take(TargetEntry e) {
+    private Optional<TargetChange> take(TargetEntry e, long now) {
         Target known = mById.get(e.id());
         if (known == null) {
-            Target joined = Target.of(e);
-            markEvacuated(joined);
+            Target joined = Target.of(e, now);
+            markEvacuated(joined, now);
             mById.put(e.id(), joined);
             return Optional.of(new TargetChange(e, TargetChange.Kind.JOINED));
         }
         boolean nowLeaving = e.leaving() && !known.entry().leaving();
-        known.update(e);
-        markEvacuated(known);
+        known.update(e, now);
+        markEvacuated(known, now);
         return nowLeaving
                 ? Optional.of(new TargetChange(e, TargetChange.Kind.LEAVING))
                 : Optional.empty();
--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetEntry.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetEntry.java
@@ -11,10 +11,17 @@
  * @param domain its failure domain
  * @param slots requests it works on at a time
  * @param leaving whether it takes no new work
+ * @param coldMillis for how long it stays cold, as of its last word; 0 if it is not
  * @since 0.2
  */
 public record TargetEntry(
-        String id, String pool, String address, String domain, int slots, boolean leaving) {
+        String id,
+        String pool,
+        String address,
+        String domain,
+        int slots,
+        boolean leaving,
+        long coldMillis) {
 
     /**
      * Returns a hash of all fields. The record's own text would do as well, but its first use costs
@@ -22,6 +29,18 @@
      */
     public long fingerprint() {
         return Hashes.of(
-                id + '|' + pool + '|' + address + '|' + domain + '|' + slots + '|' + leaving);
+                id
+                        + '|'
+                        + pool
+                        + '|'
+                        + address
+                        + '|'
+                        + domain
+                        + '|'
+                        + slots
+                        + '|'
+                        + leaving
+                        + '|'
+                        + coldMillis);
     }
 }
--- a/forkseam-core/src/test/java/org/forkseam/core/member/TargetDirectoryTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/member/TargetDirectoryTest.java
@@ -12,7 +12,7 @@
     private final TargetDirectory mDirectory = TargetDirectory.create();
 
     private static TargetEntry entry(String id, boolean leaving) {
-        return new TargetEntry(id, "pool", "10.0.0.1:1", "z", 8, leaving);
+        return new TargetEntry(id, "pool", "10.0.0.1:1", "z", 8, leaving, 0);
     }
 
     private boolean takesWork(String id) {
@@ -89,12 +89,12 @@
     @Test
     void targetsOfAnEvacuatedDomainStayAndTakeNoWork() {
         mDirectory.apply(1, List.of(entry("a", false)), 0);
-        mDirectory.setEvacuated(Set.of("z"));
+        mDirectory.setEvacuated(Set.of("z"), 5);
         mDirectory.apply(2, List.of(entry("a", false), entry("late", false)), 10);
         assertThat(takesWork("a")).isFalse();
         assertThat(takesWork("late")).isFalse();
         assertThat(mDirectory.find("a").orElseThrow().stays()).isTrue();
-        mDirectory.setEvacuated(Set.of("other"));
+        mDirectory.setEvacuated(Set.of("other"), 20);
         assertThat(takesWork("a")).isTrue();
         assertThat(takesWork("late")).isTrue();
     }
--- a/forkseam-core/src/test/java/org/forkseam/core/route/CandidateFilterTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/CandidateFilterTest.java
@@ -29,9 +29,9 @@
     @Test
     void evacuatedTargetsAreAlwaysLeftOut() {
         List<Target> pool = Targets.ready(3);
-        pool.forEach(t -> t.setEvacuated(true));
+        pool.forEach(t -> t.setEvacuated(true, 0));
         assertThat(mFilter.of(pool, Set.of(), 0).targets()).isEmpty();
-        pool.get(2).setEvacuated(false);
+        pool.get(2).setEvacuated(false, 0);
         makeSick(pool.get(2), 100);
         assertThat(mFilter.of(pool, Set.of(), 200).targets()).containsExactly(pool.get(2));
     }
--- a/forkseam-core/src/test/java/org/forkseam/core/route/FullPlacesTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/FullPlacesTest.java
@@ -19,7 +19,8 @@
 
     FullPlacesTest() {
         for (int i = 0; i < 8; i++) {
-            mPool.add(Target.of(new TargetEntry("t" + i, "p", "10.0.0.1:1", "a", PLACES, false)));
+            mPool.add(
+                    Target.of(new TargetEntry("t" + i, "p", "10.0.0.1:1", "a", PLACES, false, 0)));
         }
     }
 
--- a/forkseam-core/src/test/java/org/forkseam/core/route/HolderMemoryTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/HolderMemoryTest.java
@@ -22,7 +22,7 @@
     }
 
     private static TargetEntry entry(String id) {
-        return new TargetEntry(id, "pool", "10.0.0.1:1", "z", 8, false);
+        return new TargetEntry(id, "pool", "10.0.0.1:1", "z", 8, false, 0);
     }
 
     private Target target(String id) {
--- a/forkseam-core/src/test/java/org/forkseam/core/route/PoolModel.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/PoolModel.java
@@ -201,7 +201,7 @@
 
     private Target target(String id) {
         int places = mSetup.fleet().mPlaces;
-        return Target.of(new TargetEntry(id, "pool", "10.0.0.1:1", "a", places, false));
+        return Target.of(new TargetEntry(id, "pool", "10.0.0.1:1", "a", places, false, 0));
     }
 
     /** Plays so many seconds at a multiple of the usual rate, and counts what came in them. */
--- a/forkseam-core/src/test/java/org/forkseam/core/route/SeatPlannerTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/SeatPlannerTest.java
@@ -48,7 +48,7 @@
         pool.add(Targets.ready("new"));
         assertThat(mPlanner.next(t, pool, SeatPlanner.Demand.BALANCED, 1_000))
                 .isEqualTo(Optional.empty());
-        pool.get(1).setEvacuated(true);
+        pool.get(1).setEvacuated(true, 0);
         assertThat(mPlanner.next(t, pool, SeatPlanner.Demand.BALANCED, 1_500))
                 .isEqualTo(Optional.empty());
     }
--- a/forkseam-core/src/test/java/org/forkseam/core/route/Targets.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/Targets.java
@@ -11,12 +11,12 @@
     private Targets() {}
 
     static Target ready(String id) {
-        return Target.of(new TargetEntry(id, "pool", "10.0.0.1:1", "a", 64, false));
+        return Target.of(new TargetEntry(id, "pool", "10.0.0.1:1", "a", 64, false, 0));
     }
 
     static void leave(Target t) {
         TargetEntry e = t.entry();
-        t.update(new TargetEntry(e.id(), e.pool(), e.address(), e.domain(), e.slots(), true));
+        t.update(new TargetEntry(e.id(), e.pool(), e.address(), e.domain(), e.slots(), true, 0), 0);
     }
 
     static List<Target> ready(int count) {
--- a/forkseam-core/src/test/java/org/forkseam/core/share/LoadExchangeTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/share/LoadExchangeTest.java
@@ -14,7 +14,7 @@
 /** Tests what routers tell each other of targets' load. */
 class LoadExchangeTest {
     private static Target target(String id) {
-        return Target.of(new TargetEntry(id, "p", "10.0.0.1:1", "a", 12, false));
+        return Target.of(new TargetEntry(id, "p", "10.0.0.1:1", "a", 12, false, 0));
     }
 
     private static IntFunction<Optional<Target>> only(Target t) {
--- a/forkseam-core/src/test/java/org/forkseam/core/share/TargetNewsTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/share/TargetNewsTest.java
@@ -19,7 +19,7 @@
     private static List<TargetEntry> list(Set<Integer> ids, Set<Integer> leaving) {
         List<TargetEntry> list = new ArrayList<>();
         for (int id : ids) {
-            list.add(new TargetEntry("i-" + id, "p", "10.0.0.1:1", "a", 4, leaving.contains(id)));
+            list.add(new TargetEntry("i-" + id, "p", "10.0.0.1:1", "a", 4, leaving.contains(id), 0));
         }
         return list;
     }
--- a/forkseam-core/src/test/java/org/forkseam/core/traffic/TrafficConfigTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/traffic/TrafficConfigTest.java
@@ -32,7 +32,7 @@
                     List.of(
                             route("short", "/a/", new PoolShare("p", 1)),
                             route("long", "/a/b/", new PoolShare("q", 1))),
-                    List.of(new Pool("p", 10, false)),
+                    List.of(Pool.of("p", 10, false)),
                     Map.of("key", new Team("team", OptionalInt.empty())),
                     CallerLimits.defaults());
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/RouterSettings.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/RouterSettings.java
@@ -40,6 +40,8 @@
      * @param repeatAllowance repeats allowed besides, over all routers
      * @param repeatWindowMillis window in which both are counted
      * @param loadMultiple bound on a target's load, as a multiple of its pool's mean
+     * @param coldOvershoot bound on the requests that a cold target gets within a second, as a
+     *     multiple of what it bears
      */
     public record Bounds(
             long stopMillis,
@@ -47,5 +49,6 @@
             double repeatShare,
             double repeatAllowance,
             long repeatWindowMillis,
-            double loadMultiple) {}
+            double loadMultiple,
+            double coldOvershoot) {}
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -150,7 +150,7 @@
         }
         Optional<Pick> pick = mPlacement.next(mConfig, mPool);
         if (pick.isEmpty()) {
-            giveUp(mPlacement.whyNone(mPool));
+            giveUp(mPlacement.whyNone(mConfig, mPool));
             return;
         }
         Target t = pick.get().target();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
@@ -5,6 +5,7 @@
 import org.forkseam.core.route.Pick;
 import org.forkseam.core.route.PickRequest;
 import org.forkseam.core.route.TargetPicker;
+import org.forkseam.core.traffic.ColdStart;
 import org.forkseam.core.traffic.Pool;
 import org.forkseam.core.traffic.Prompt;
 import org.forkseam.core.traffic.TrafficConfig;
@@ -54,27 +55,35 @@
     /** Chooses a target that this request was not sent to yet. */
     Optional<Pick> next(TrafficConfig config, String pool) {
         long now = mContext.now();
-        CandidateFilter.Candidates c =
-                mContext.placing()
-                        .filter()
-                        .of(mContext.knowledge().targets().pool(pool), mTried, now);
+        ColdStart cold = coldStart(config, pool);
+        List<Target> admitted =
+                mContext.coldGate().admitted(mContext.knowledge().targets().pool(pool), cold, now);
+        CandidateFilter.Candidates c = mContext.placing().filter().of(admitted, mTried, now);
         PickRequest request =
                 new PickRequest(mKey, mSharedTokens, mContext.knowledge().seats().table(pool));
         Optional<Pick> pick = picker(config, pool).pick(request, c.targets(), now);
-        pick.ifPresent(p -> onPick(pool, p));
+        pick.ifPresent(p -> onPick(pool, p, cold, now));
         return pick;
     }
 
-    private void onPick(String pool, Pick p) {
+    private static ColdStart coldStart(TrafficConfig config, String pool) {
+        return config.pool(pool).map(Pool::coldStart).orElse(ColdStart.NONE);
+    }
+
+    private void onPick(String pool, Pick p, ColdStart cold, long now) {
         mTried.add(p.target().entry().id());
+        mContext.coldGate().onSent(p.target(), cold, now);
         mContext.knowledge().seats().onPick(pool, p.reason());
     }
 
     /** Says why there is no target that this request could be sent to. */
-    String whyNone(String pool) {
-        boolean evacuated =
-                mContext.knowledge().targets().pool(pool).stream().anyMatch(Target::isEvacuated);
-        return evacuated ? "evacuated" : "no_target";
+    String whyNone(TrafficConfig config, String pool) {
+        List<Target> all = mContext.knowledge().targets().pool(pool);
+        long coldMillis = coldStart(config, pool).millis();
+        if (all.stream().anyMatch(t -> t.takesWork() && t.isCold(coldMillis, mContext.now()))) {
+            return "cold";
+        }
+        return all.stream().anyMatch(Target::isEvacuated) ? "evacuated" : "no_target";
     }
 
     private TargetPicker picker(TrafficConfig config, String pool) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -1,5 +1,6 @@
 package org.forkseam.direct.flow;
 
+import org.forkseam.core.admit.ColdGate;
 import org.forkseam.core.member.ErrorRate;
 import org.forkseam.core.outcome.ComeBack;
 import org.forkseam.core.route.CandidateFilter;
@@ -21,6 +22,7 @@
     private final Knowledge mKnowledge;
     private final Targets mTargets;
     private Placing mPlacing;
+    private final ColdGate mColdGate;
     private final RepeatBudgets mBudgets;
     private final Answers mAnswers;
     private final FlowCounters mCounters;
@@ -54,6 +56,7 @@
             Knowledge knowledge,
             Targets targets,
             Placing placing,
+            ColdGate coldGate,
             RepeatBudgets budgets,
             Answers answers,
             FlowCounters counters,
@@ -66,6 +69,7 @@
         mKnowledge = p.knowledge();
         mTargets = p.targets();
         mPlacing = p.placing();
+        mColdGate = p.coldGate();
         mBudgets = p.budgets();
         mAnswers = p.answers();
         mCounters = p.counters();
@@ -127,6 +131,10 @@
         mPlacing = placing;
     }
 
+    ColdGate coldGate() {
+        return mColdGate;
+    }
+
     DecisionLog decisions() {
         return mDecisions;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.binder.MeterBinder;
 import io.netty.channel.EventLoop;
 
+import org.forkseam.core.admit.ColdGate;
 import org.forkseam.core.kernel.Service;
 import org.forkseam.core.member.Target;
 import org.forkseam.core.route.CandidateFilter;
@@ -86,6 +87,7 @@
                                         CandidateFilter.of(p.random()),
                                         homePicker(mBounds),
                                         LeastLoadedPicker.of(p.random())),
+                                ColdGate.of(p.knowledge()::shareFor, mBounds.coldOvershoot()),
                                 new RepeatBudgets(repeats(mBounds), this::routers),
                                 new Answers(p.protocol(), p.random()),
                                 new FlowCounters(),
@@ -181,6 +183,7 @@
                 () -> {
                     mBounds = bounds;
                     mContext.setPlacing(mContext.placing().withEngines(homePicker(bounds)));
+                    mContext.coldGate().setOvershoot(bounds.coldOvershoot());
                     mContext.budgets().setBounds(repeats(bounds));
                 });
     }
@@ -209,6 +212,7 @@
         m.put("callers", mContext.connections().size());
         m.put("target_connections", mContext.targets().open());
         m.put("target_connections_opened", mContext.targets().opened());
+        m.put("cold_passed_over", mContext.coldGate().passedOver());
         m.put("leaving", mContext.isLeaving());
         m.put("targets", mKnowledge.targets().all().stream().map(this::dump).toList());
         return m;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 
+import org.forkseam.core.admit.ColdShare;
 import org.forkseam.core.kernel.Service;
 import org.forkseam.core.member.Target;
 import org.forkseam.core.member.TargetDirectory;
@@ -213,6 +214,13 @@
         }
     }
 
+    /** Returns this router's share of what a target takes, or empty while routers are unknown. */
+    public Optional<ColdShare> shareFor(long targetHash) {
+        return mSeats.follower().knowsRouters()
+                ? Optional.of(mLink.shareFor(targetHash))
+                : Optional.empty();
+    }
+
     /** Returns the number of routers known, at least this one. */
     public int routers() {
         return mLink.routers();
@@ -264,7 +272,7 @@
         @Override
         public void onEvacuated(Set<String> domains) {
             mEvacuationChanges++;
-            targets().setEvacuated(domains);
+            targets().setEvacuated(domains, mClock.nowMillis());
         }
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
@@ -109,7 +109,7 @@
             text(b, e.pool());
             text(b, e.address());
             text(b, e.domain());
-            b.writeInt(e.slots()).writeBoolean(e.leaving());
+            b.writeInt(e.slots()).writeBoolean(e.leaving()).writeLong(e.coldMillis());
         }
         writeTexts(b, n.removed());
         return b;
@@ -124,7 +124,13 @@
         for (int i = b.readUnsignedShort(); i > 0; i--) {
             changed.add(
                     new TargetEntry(
-                            text(b), text(b), text(b), text(b), b.readInt(), b.readBoolean()));
+                            text(b),
+                            text(b),
+                            text(b),
+                            text(b),
+                            b.readInt(),
+                            b.readBoolean(),
+                            b.readLong()));
         }
         return new PeerMessage.Targets(
                 new TargetNews(readAt, revision, before, after, changed, readTexts(b)));
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerLink.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerLink.java
@@ -2,6 +2,8 @@
 
 import io.netty.channel.EventLoop;
 
+import org.forkseam.core.admit.ColdShare;
+
 import java.net.InetSocketAddress;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
@@ -75,6 +77,11 @@
         return Math.max(1, mRouters.size());
     }
 
+    /** Returns this router's share of what a target takes, among the routers known. */
+    ColdShare shareFor(long targetHash) {
+        return ColdShare.of(host(), mRouters.keySet(), targetHash);
+    }
+
     /** Of two routers that read the same, the one with the lower address goes on. */
     boolean goesBefore(InetSocketAddress other) {
         InetSocketAddress own = mSelf.notices();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
@@ -43,7 +43,7 @@
     /**
      * Tells what a newer list of targets changed, and that it has just been read.
      *
-     * @param news the change
+     * @param news the change, or a step of it
      */
     record Targets(TargetNews news) implements PeerMessage {}
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
@@ -62,6 +62,11 @@
         return mRead;
     }
 
+    /** Returns whether the other routers are known, from the store or from one of them. */
+    boolean knowsRouters() {
+        return mRead || !mKnown.isEmpty();
+    }
+
     /** Returns whether this router reads the rows for all, as far as it knows. */
     boolean isReader() {
         return mRole.isReader(now());
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
@@ -25,7 +25,7 @@
 /** Tests the datagrams of routers. */
 class PeerCodecTest {
     private static final TargetEntry ENTRY =
-            new TargetEntry("i-7f3a91c2", "forecast-lm", "10.1.0.40:8001", "hall-a", 12, true);
+            new TargetEntry("i-7f3a91c2", "forecast-lm", "10.1.0.40:8001", "hall-a", 12, true, 0);
     private static final PeerMessage OPERATORS =
             new PeerMessage.Operators(1, 2, 3, -4, List.of("hall-a", "ö"));
     private static final PeerMessage TARGETS =
@@ -79,9 +79,9 @@
     void whatDoesNotFitIntoADatagramIsNotWritten() {
         List<TargetEntry> many = new ArrayList<>();
         for (int i = 0; i < 40; i++) {
-            many.add(new TargetEntry("i-" + i, "pool", "10.1.0.40:8001", "hall-a", 12, false));
+            many.add(new TargetEntry("i-" + i, "pool", "10.1.0.40:8001", "hall-a", 12, false, 0));
         }
-        TargetNews news = TargetNews.between(List.of(), many, 1, 1);
+        TargetNews news = TargetNews.between(List.of(), 0, many, 1, 1);
         assertThat(PeerCodec.write(new PeerMessage.Targets(news)).isPresent()).isFalse();
     }
 
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
@@ -71,12 +71,12 @@
                 TrafficConfig.of(
                         9,
                         List.of(route),
-                        List.of(new Pool("p", 10, true)),
+                        List.of(Pool.of("p", 10, true)),
                         Map.of(
                                 "k", new Team("t", OptionalInt.of(2)),
                                 "l", new Team("u", OptionalInt.empty())),
                         new CallerLimits(1, 2, 3, 4));
-        TargetEntry entry = new TargetEntry("i", "p", "10.0.0.1:1", "z", 4, true);
+        TargetEntry entry = new TargetEntry("i", "p", "10.0.0.1:1", "z", 4, true, 0);
         SharedRow seats = new SharedRow("seats/p", "i,j", 5);
         Evacuations evacuations = Evacuations.create();
         evacuations.replace(12, List.of("z"));
@@ -85,7 +85,7 @@
                         PeerSnapshot.of(c, 7, List.of(entry), List.of(seats), evacuations).write());
         assertThat(read.config().version()).isEqualTo(9);
         assertThat(read.config().routes()).containsExactly(route);
-        assertThat(read.config().pools()).containsExactly(new Pool("p", 10, true));
+        assertThat(read.config().pools()).containsExactly(Pool.of("p", 10, true));
         assertThat(read.config().teamsByKey()).isEqualTo(c.teamsByKey());
         assertThat(read.config().limits()).isEqualTo(c.limits());
         assertThat(read.targets()).containsExactly(entry);
