Tell a large change of the list of targets in steps

Change: a change is told in steps of twelve entries, each made from the list that the step before leads to; a missing step is noticed by the fingerprint, and the list is read. Fingerprints are summed over what changes instead of over the list (twice a read and twice a message before).

Tests: TargetNewsTest (steps lead to the newer list for any change, jqwik; a missing step is noticed).

--- a/forkseam-core/src/test/java/org/forkseam/core/share/TargetNewsTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/share/TargetNewsTest.java
@@ -12,6 +12,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /** Tests what one router tells others of a changed list of targets. */
@@ -19,11 +20,50 @@
     private static List<TargetEntry> list(Set<Integer> ids, Set<Integer> leaving) {
         List<TargetEntry> list = new ArrayList<>();
         for (int id : ids) {
-            list.add(new TargetEntry("i-" + id, "p", "10.0.0.1:1", "a", 4, leaving.contains(id), 0));
+            list.add(
+                    new TargetEntry("i-" + id, "p", "10.0.0.1:1", "a", 4, leaving.contains(id), 0));
         }
         return list;
     }
 
+    private static TargetNews between(
+            List<TargetEntry> older, List<TargetEntry> newer, long readAt) {
+        return TargetNews.between(older, TargetNews.fingerprint(older), newer, readAt, readAt);
+    }
+
+    private static Optional<List<TargetEntry>> apply(TargetNews news, List<TargetEntry> list) {
+        return news.applyTo(list, TargetNews.fingerprint(list));
+    }
+
+    /** Hundreds of targets join and leave at once: all steps fit, and lead to the newer list. */
+    @Property(tries = 100)
+    void stepsLeadToTheNewerList(
+            @ForAll @Size(max = 60) Set<@IntRange(max = 80) Integer> before,
+            @ForAll @Size(max = 60) Set<@IntRange(max = 80) Integer> after,
+            @ForAll @Size(max = 20) Set<@IntRange(max = 80) Integer> leaving,
+            @ForAll @IntRange(min = 1, max = 12) int most) {
+        List<TargetEntry> older = list(before, Set.of());
+        List<TargetEntry> newer = list(after, leaving);
+        List<TargetEntry> now = older;
+        for (TargetNews step : between(older, newer, 1).inSteps(older, most)) {
+            assertThat(step.changed().size() + step.removed().size()).isAtMost(most);
+            now = apply(step, now).orElseThrow();
+        }
+        assertThat(now).containsExactlyElementsIn(newer);
+    }
+
+    /** A lost step is noticed at the next. */
+    @Test
+    void aStepThatIsMissingIsNoticed() {
+        List<TargetEntry> older = list(Set.of(1, 2), Set.of());
+        List<TargetNews> steps =
+                between(older, list(Set.of(3, 4, 5), Set.of()), 1).inSteps(older, 2);
+        assertThat(steps).hasSize(3);
+        assertThat(apply(steps.get(1), older).isPresent()).isFalse();
+        List<TargetEntry> first = apply(steps.get(0), older).orElseThrow();
+        assertThat(apply(steps.get(2), first).isPresent()).isFalse();
+    }
+
     @Property(tries = 300)
     void whoHoldsTheOlderListGetsTheNewer(
             @ForAll @Size(max = 12) Set<@IntRange(max = 15) Integer> before,
@@ -31,8 +71,8 @@
             @ForAll @Size(max = 4) Set<@IntRange(max = 15) Integer> leaving) {
         List<TargetEntry> older = list(before, Set.of());
         List<TargetEntry> newer = list(after, leaving);
-        TargetNews news = TargetNews.between(older, newer, 1, 2);
-        assertThat(news.applyTo(older).orElseThrow()).containsExactlyElementsIn(newer);
+        TargetNews news = between(older, newer, 1);
+        assertThat(apply(news, older).orElseThrow()).containsExactlyElementsIn(newer);
     }
 
     @Property(tries = 300)
@@ -40,9 +80,9 @@
             @ForAll @Size(max = 12) Set<@IntRange(max = 15) Integer> before,
             @ForAll @Size(max = 12) Set<@IntRange(max = 15) Integer> after,
             @ForAll @Size(max = 12) Set<@IntRange(max = 15) Integer> other) {
-        TargetNews news = TargetNews.between(list(before, Set.of()), list(after, Set.of()), 1, 2);
+        TargetNews news = between(list(before, Set.of()), list(after, Set.of()), 1);
         if (!other.equals(before)) {
-            assertThat(news.applyTo(list(other, Set.of())).isPresent()).isFalse();
+            assertThat(apply(news, list(other, Set.of())).isPresent()).isFalse();
         }
     }
 
@@ -54,12 +94,12 @@
         List<TargetEntry> one = list(Set.of(1), Set.of());
         List<TargetEntry> two = list(Set.of(1, 2), Set.of());
         List<TargetEntry> three = list(Set.of(2, 3), Set.of());
-        TargetNews first = TargetNews.between(one, two, 1, 1);
-        TargetNews second = TargetNews.between(two, three, 2, 2);
-        assertThat(second.applyTo(one).isPresent()).isFalse();
-        List<TargetEntry> known = second.applyTo(first.applyTo(one).orElseThrow()).orElseThrow();
+        TargetNews first = between(one, two, 1);
+        TargetNews second = between(two, three, 2);
+        assertThat(apply(second, one).isPresent()).isFalse();
+        List<TargetEntry> known = apply(second, apply(first, one).orElseThrow()).orElseThrow();
         assertThat(known).containsExactlyElementsIn(three);
-        assertThat(second.applyTo(known).isPresent()).isFalse();
-        assertThat(first.applyTo(known).isPresent()).isFalse();
+        assertThat(apply(second, known).isPresent()).isFalse();
+        assertThat(apply(first, known).isPresent()).isFalse();
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
@@ -18,6 +18,9 @@
  * who has missed a change, or hears nothing, reads for itself. Used on the event loop.
  */
 final class TargetFollower extends FollowerBase {
+    /** Entries told in one message: each takes some 90 bytes of 1,400. */
+    private static final int STEP_ENTRIES = 12;
+
     private final FleetSource mSource;
     private final TargetDirectory mTargets = TargetDirectory.create();
     private final Backoff mBackoff = new Backoff();
@@ -91,12 +94,15 @@
         mBackoff.reset();
         long now = now();
         mSourceOffset = now - read.readAt();
-        TargetNews news = TargetNews.between(mList, read.value(), read.readAt(), read.revision());
+        List<TargetEntry> before = mList;
+        TargetNews news =
+                TargetNews.between(
+                        before, mFingerprint, read.value(), read.readAt(), read.revision());
         boolean first = !mListed;
         take(read.value(), read.revision(), news.after(), now);
         mReadAt = read.readAt();
         if (telling == Telling.ALL) {
-            tell(news, first);
+            tell(first ? List.of() : news.inSteps(before, STEP_ENTRIES), news);
         }
         readIn(mPauseMillis + spread(), this::readIfDue);
     }
@@ -138,12 +144,13 @@
 
     // ---------------------------------------------------------------- other routers
 
-    private void tell(TargetNews news, boolean first) {
-        boolean changed = !first && news.before() != news.after();
-        if (changed && link().tell(new PeerMessage.Targets(news))) {
+    /** Tells the steps of a change; if one does not fit, or there is none, what was read. */
+    private void tell(List<TargetNews> steps, TargetNews whole) {
+        boolean changed = !steps.isEmpty() && whole.before() != whole.after();
+        if (changed && steps.stream().allMatch(s -> link().tell(new PeerMessage.Targets(s)))) {
             return;
         }
-        link().tell(new PeerNotice(PeerNotice.Kind.LIST, news.readAt(), news.after()));
+        link().tell(new PeerNotice(PeerNotice.Kind.LIST, whole.readAt(), whole.after()));
     }
 
     /** Takes it in that another router has read the list, and found this one's or another. */
@@ -160,14 +167,15 @@
 
     /** Takes it in that another router has read the list and found it changed. */
     void onNews(TargetNews news) {
-        if (isOutOfTurn(news.readAt())) {
+        boolean nextStep = news.readAt() == mReadAt && news.before() == mFingerprint;
+        if (isOutOfTurn(news.readAt()) && !(nextStep && mListed)) {
             return;
         }
         if (news.after() == mFingerprint) {
             confirm(news.readAt());
             return;
         }
-        Optional<List<TargetEntry>> list = news.applyTo(mList);
+        Optional<List<TargetEntry>> list = news.applyTo(mList, mFingerprint);
         if (list.isEmpty() || news.revision() < mTargets.revision()) {
             read(Telling.NOBODY);
             return;
