Try a store that refuses a router less often while it can serve

Change: pauses between failed reads grow to 1.5 s while the router knows enough to serve; one that does not keeps 0.5 s, since its callers wait for it. One rule for all three followers in place of three.

Ruled out: reading nothing but the operators' table meanwhile (a store may refuse one table only).

--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigFollower.java
@@ -40,11 +40,11 @@
     private final Listener mListener;
     private final Evacuations mEvacuations = Evacuations.create();
     private final ReaderRole mRole = ReaderRole.of(HEARD_MILLIS);
-    private final Backoff mBackoff = new Backoff();
     private TrafficConfig mConfig = TrafficConfig.none();
     private long mRevision;
     private long mConfirmedAt;
     private long mReadAt = Long.MIN_VALUE;
+    private int mFailures;
     private boolean mReadingNow;
 
     /** Is told of what is learned here. */
@@ -146,7 +146,7 @@
             return;
         }
         watch().onAnswer();
-        mBackoff.reset();
+        mFailures = 0;
         mRevision = Math.max(mRevision, read.revision());
         mConfirmedAt = now();
         TrafficConfig before = mConfig;
@@ -197,7 +197,7 @@
             watch().onNoAnswer(failure);
             mListener.onIgnorant();
         }
-        later(mBackoff.next(random()), this::start);
+        later(pauseAfter(++mFailures), this::start);
     }
 
     // ---------------------------------------------------------------- other routers
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/FollowerBase.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/FollowerBase.java
@@ -5,6 +5,7 @@
 import org.forkseam.core.util.Clock;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
 /** Is the common part of what follows something in the store. Used on the event loop. */
@@ -13,8 +14,20 @@
     static final long SPREAD_MILLIS = 250;
 
     private static final long FIRST_BACKOFF_MILLIS = 100;
+
+    /** Longest pause of a router that knows too little to serve: its callers wait for it. */
     private static final long MAX_BACKOFF_MILLIS = 500;
 
+    /**
+     * Longest pause of a router that serves by what it knows, while the store refuses it or is
+     * away. Each refused call has its price, and a router makes three kinds of read. What it misses
+     * for the second more it hears from others, once the store answers it again.
+     */
+    private static final long MAX_SERVING_BACKOFF_MILLIS = 1_500;
+
+    /** Enough to reach the longest pause. */
+    private static final int MAX_DOUBLINGS = 4;
+
     private final Surroundings mAround;
     private boolean mStopped;
 
@@ -23,13 +36,15 @@
      *
      * @param link to the other routers
      * @param watch over the store
+     * @param serving tells whether this router knows enough to serve callers
      */
     record Surroundings(
             EventLoop loop,
             Clock clock,
             RandomGenerator random,
             PeerLink link,
-            SourceWatch watch) {}
+            SourceWatch watch,
+            BooleanSupplier serving) {}
 
     FollowerBase(Surroundings around) {
         mAround = around;
@@ -67,18 +82,11 @@
         return mAround.loop().schedule(task, millis, TimeUnit.MILLISECONDS);
     }
 
-    /** Gives growing pauses between failed reads. */
-    static final class Backoff {
-        private long mNext = FIRST_BACKOFF_MILLIS;
-
-        long next(RandomGenerator random) {
-            long pause = mNext / 2 + random.nextLong(mNext);
-            mNext = Math.min(MAX_BACKOFF_MILLIS, mNext * 2);
-            return pause;
-        }
-
-        void reset() {
-            mNext = FIRST_BACKOFF_MILLIS;
-        }
+    /** Returns the pause before the next try of a read that has failed so often in a row. */
+    final long pauseAfter(int failures) {
+        long max =
+                mAround.serving().getAsBoolean() ? MAX_SERVING_BACKOFF_MILLIS : MAX_BACKOFF_MILLIS;
+        long pause = Math.min(max, FIRST_BACKOFF_MILLIS << Math.min(failures - 1, MAX_DOUBLINGS));
+        return pause / 2 + random().nextLong(pause);
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -94,7 +94,7 @@
         mLink = new PeerLink(loop, self, random, this::onMessage);
         mPeers = PeerClient.of(loop, clock, sources.peers());
         FollowerBase.Surroundings around =
-                new FollowerBase.Surroundings(loop, clock, random, mLink, mWatch);
+                new FollowerBase.Surroundings(loop, clock, random, mLink, mWatch, this::isComplete);
         mTargets = new TargetFollower(around, sources.fleet(), listMillis);
         mConfig = new ConfigFollower(around, sources.fleet(), new OperatorListener());
         mSeats = new Seats(around, sources.shared(), mTargets.targets());
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
@@ -33,8 +33,6 @@
     /** Rows that change within such a span are read together. Unit: milliseconds. */
     private static final long GATHER_MILLIS = 100;
 
-    private static final long RETRY_MILLIS = 700;
-
     /** A router that the rows do not name writes its own anew after so long. */
     private static final long REGISTER_MILLIS = 5_000;
 
@@ -44,6 +42,7 @@
     private final Map<String, SharedRow> mKnown = new LinkedHashMap<>();
     private long mRevision;
     private boolean mRead;
+    private int mFailures;
     private boolean mCatchingUp;
 
     /**
@@ -116,9 +115,10 @@
 
     private void onAll(Versioned<List<SharedRow>> read, Throwable failure) {
         if (failure != null) {
-            later(RETRY_MILLIS, this::readAll);
+            later(pauseAfter(++mFailures), this::readAll);
             return;
         }
+        mFailures = 0;
         boolean first = !mRead;
         mRead = true;
         mRevision = Math.max(mRevision, read.revision());
@@ -145,9 +145,10 @@
 
     private void onChanges(Versioned<List<SharedRow>> read, Throwable failure, long since) {
         if (failure != null) {
-            later(RETRY_MILLIS, this::readAll);
+            later(pauseAfter(++mFailures), this::readAll);
             return;
         }
+        mFailures = 0;
         mRevision = Math.max(mRevision, read.revision());
         read.value().forEach(this::take);
         tell(new PeerMessage.Rows(read.readAt(), since, read.revision(), true, read.value()));
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
@@ -23,11 +23,11 @@
 
     private final FleetSource mSource;
     private final TargetDirectory mTargets = TargetDirectory.create();
-    private final Backoff mBackoff = new Backoff();
     private long mPauseMillis;
     private List<TargetEntry> mList = List.of();
     private long mFingerprint;
     private long mReadAt = Long.MIN_VALUE;
+    private int mFailures;
     private long mConfirmedAt;
     private long mSourceOffset;
     private boolean mListed;
@@ -87,11 +87,11 @@
         mReading = false;
         if (failure != null) {
             watch().onNoAnswer(failure);
-            readIn(mBackoff.next(random()), this::start);
+            readIn(pauseAfter(++mFailures), this::start);
             return;
         }
         watch().onAnswer();
-        mBackoff.reset();
+        mFailures = 0;
         long now = now();
         mSourceOffset = now - read.readAt();
         List<TargetEntry> before = mList;
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/RowFollowerTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/RowFollowerTest.java
@@ -83,7 +83,7 @@
                 new PeerLink(mLoop, new Knowledge.Self("own", OWN), random, (m, sender) -> {});
         FollowerBase.Surroundings around =
                 new FollowerBase.Surroundings(
-                        mLoop, Clock.steady(), random, link, new SourceWatch(() -> {}));
+                        mLoop, Clock.steady(), random, link, new SourceWatch(() -> {}), () -> true);
         return new RowFollower(around, mRows, mTaken::add);
     }
 
