Count targets that rest in the pool's mean load

Cause: the bound on load is a multiple of the mean over all targets of a pool. Ours was the mean over the candidates, without those of evacuated domains or cold ones without room, so that it stood above the operators' by a quarter and more.

Ruled out: counting crashed targets as well, whose entries lapse seconds later: the bound would fall when the others have to take their load.

--- a/forkseam-core/src/main/java/org/forkseam/core/route/HomePicker.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/HomePicker.java
@@ -15,8 +15,9 @@
  *
  * <p>The order of preference is by rendezvous hashing over the pool's seats, so all routers with
  * the same table agree on it without a message; targets without a seat come last. A target over the
- * bound is passed over. Requests with little to reread keep a distance from the bound, so that
- * those with much to reread find their home below it.
+ * bound is passed over; targets that rest, in an evacuated domain for instance, lower the mean that
+ * the bound is a multiple of, as operators reckon it. Requests with little to reread keep a
+ * distance from the bound, so that those with much to reread find their home below it.
  *
  * @since 0.2
  */
@@ -73,7 +74,7 @@
             total += load(t, now);
         }
         double share = request.sharedTokens() < MANY_TOKENS ? LIGHT_SHARE : 1;
-        double mean = (double) total / candidates.size();
+        double mean = (double) total / (candidates.size() + request.resting());
         double spread = share * mMultiple * mean + mMargin;
         double full = FULL_MULTIPLE * mean + FULL_MARGIN;
         for (int i = 0; i < order.size(); i++) {
--- a/forkseam-core/src/test/java/org/forkseam/core/route/FullPlacesTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/FullPlacesTest.java
@@ -12,7 +12,7 @@
 /** Tests the choice among engines whose places are few. */
 class FullPlacesTest {
     private static final int PLACES = 12;
-    private static final PickRequest REQUEST = new PickRequest("k", 10_000, SeatTable.empty());
+    private static final PickRequest REQUEST = PickRequest.of("k", 10_000, SeatTable.empty());
 
     private final HomePicker mPicker = HomePicker.of(2, 2);
     private final List<Target> mPool = new ArrayList<>();
--- a/forkseam-core/src/test/java/org/forkseam/core/route/HomePickerTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/HomePickerTest.java
@@ -20,7 +20,7 @@
     private final HomePicker mPicker = HomePicker.of(MULTIPLE, MARGIN);
 
     private static PickRequest request(String key, long sharedTokens) {
-        return new PickRequest(key, sharedTokens, SeatTable.empty());
+        return PickRequest.of(key, sharedTokens, SeatTable.empty());
     }
 
     @Test
@@ -49,6 +49,20 @@
                 .isEqualTo(Pick.Reason.SPILL);
     }
 
+    /** Operators reckon the mean over all targets, also those of an evacuated domain. */
+    @Test
+    void targetsThatRestLowerTheBound() {
+        List<Target> pool = Targets.ready(4);
+        pool.forEach(t -> Targets.load(t, 10));
+        Target home = mPicker.pick(request("k", 10_000), pool, 0).orElseThrow().target();
+        Targets.load(home, 14); // 24: below twice a mean of 13.5, above twice one of 9
+        PickRequest resting = new PickRequest("k", 10_000, SeatTable.empty(), 2);
+        assertThat(mPicker.pick(request("k", 10_000), pool, 0).orElseThrow().target())
+                .isSameInstanceAs(home);
+        assertThat(mPicker.pick(resting, pool, 0).orElseThrow().reason())
+                .isEqualTo(Pick.Reason.SPILL);
+    }
+
     @Property(tries = 300)
     void neverPicksOneOverTheBoundWhileAnotherIsBelow(
             @ForAll @Size(min = 1, max = 12) List<@IntRange(max = 60) Integer> loads,
--- a/forkseam-core/src/test/java/org/forkseam/core/route/PoolModel.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/PoolModel.java
@@ -283,7 +283,7 @@
 
     private void send(Work w) {
         List<Target> targets = mRouters.get(w.mRouter);
-        PickRequest request = new PickRequest(w.mKey, w.mKind.shared(), mSeats);
+        PickRequest request = PickRequest.of(w.mKey, w.mKind.shared(), mSeats);
         Pick pick = mPicker.pick(request, targets, (long) mNow).orElseThrow();
         mSpills.get(w.mRouter).onPick(pick.reason(), (long) mNow);
         w.mOutcome.mSpilled += pick.reason() == Pick.Reason.HOME ? 0 : 1;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
@@ -56,16 +56,26 @@
     Optional<Pick> next(TrafficConfig config, String pool) {
         long now = mContext.now();
         ColdStart cold = coldStart(config, pool);
-        List<Target> admitted =
-                mContext.coldGate().admitted(mContext.knowledge().targets().pool(pool), cold, now);
+        List<Target> all = mContext.knowledge().targets().pool(pool);
+        List<Target> admitted = mContext.coldGate().admitted(all, cold, now);
+        int resting = all.size() - admitted.size() + evacuated(admitted);
         CandidateFilter.Candidates c = mContext.placing().filter().of(admitted, mTried, now);
         PickRequest request =
-                new PickRequest(mKey, mSharedTokens, mContext.knowledge().seats().table(pool));
+                new PickRequest(
+                        mKey, mSharedTokens, mContext.knowledge().seats().table(pool), resting);
         Optional<Pick> pick = picker(config, pool).pick(request, c.targets(), now);
         pick.ifPresent(p -> onPick(pool, p, cold, now));
         return pick;
     }
 
+    private static int evacuated(List<Target> targets) {
+        int n = 0;
+        for (Target t : targets) {
+            n += t.isEvacuated() && t.stays() ? 1 : 0;
+        }
+        return n;
+    }
+
     private static ColdStart coldStart(TrafficConfig config, String pool) {
         return config.pool(pool).map(Pool::coldStart).orElse(ColdStart.NONE);
     }
