Keep requests in the regions that their route and team allow

Change: regions of failure domains from the settings, homes from the configuration; targets elsewhere, or of an unknown region, are left out first of all.

Ruled out: deciding by the router's own region (a caller may be connected elsewhere).

--- a/forkseam-core/src/main/java/org/forkseam/core/traffic/ConfigParts.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/traffic/ConfigParts.java
@@ -70,6 +70,7 @@
     }
 
     private static long of(String key, Team t) {
-        return Hashes.of(key + '|' + t.name() + '|' + t.priority().orElse(-1));
+        String homes = String.join(",", t.homes());
+        return Hashes.of(key + '|' + t.name() + '|' + t.priority().orElse(-1) + '|' + homes);
     }
 }
--- a/forkseam-core/src/main/java/org/forkseam/core/traffic/Route.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/traffic/Route.java
@@ -18,6 +18,7 @@
  * @param priority rank, 0 is the most urgent
  * @param open whether requests need no key
  * @param shares the pools that serve the route
+ * @param homes regions whose targets may serve it; any if there are none
  * @since 0.2
  */
 public record Route(
@@ -31,7 +32,8 @@
         int attempts,
         int priority,
         boolean open,
-        List<PoolShare> shares) {
+        List<PoolShare> shares,
+        List<String> homes) {
 
     /** Returns a hash of all fields. */
     public long fingerprint() {
@@ -42,6 +44,7 @@
         for (PoolShare s : shares) {
             b.append('|').append(s.pool()).append('=').append(s.weight());
         }
+        b.append('|').append(String.join(",", homes));
         return Hashes.of(b.toString());
     }
 
--- a/forkseam-core/src/main/java/org/forkseam/core/traffic/Team.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/traffic/Team.java
@@ -1,5 +1,6 @@
 package org.forkseam.core.traffic;
 
+import java.util.List;
 import java.util.OptionalInt;
 
 /**
@@ -7,5 +8,6 @@
  *
  * @param name the team's name
  * @param priority rank that goes before the route's, if declared
+ * @param homes regions whose targets may serve it; any if there are none
  */
-public record Team(String name, OptionalInt priority) {}
+public record Team(String name, OptionalInt priority, List<String> homes) {}
--- a/forkseam-core/src/test/java/org/forkseam/core/traffic/ConfigChangeTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/traffic/ConfigChangeTest.java
@@ -28,7 +28,8 @@
                 attempts,
                 n % 2,
                 false,
-                List.of(new PoolShare("p", 1)));
+                List.of(new PoolShare("p", 1)),
+                List.of("n"));
     }
 
     private static TrafficConfig config(long version, Random random) {
@@ -42,7 +43,7 @@
             if (random.nextBoolean()) {
                 OptionalInt rank =
                         random.nextBoolean() ? OptionalInt.empty() : OptionalInt.of(i % 3);
-                teams.put("k" + i, new Team("t" + i % 4, rank));
+                teams.put("k" + i, new Team("t" + i % 4, rank, List.of()));
             }
             if (random.nextBoolean()) {
                 ColdStart cold = new ColdStart(3_000, random.nextInt(3));
--- a/forkseam-core/src/test/java/org/forkseam/core/traffic/TrafficConfigTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/traffic/TrafficConfigTest.java
@@ -23,7 +23,8 @@
                 2,
                 0,
                 false,
-                List.of(shares));
+                List.of(shares),
+                List.of());
     }
 
     private static final TrafficConfig CONFIG =
@@ -33,7 +34,7 @@
                             route("short", "/a/", new PoolShare("p", 1)),
                             route("long", "/a/b/", new PoolShare("q", 1))),
                     List.of(Pool.of("p", 10, false)),
-                    Map.of("key", new Team("team", OptionalInt.empty())),
+                    Map.of("key", new Team("team", OptionalInt.empty(), List.of())),
                     CallerLimits.defaults());
 
     private static Optional<String> route(String host, String path) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/RouterSettings.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/RouterSettings.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct;
 
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -8,6 +9,7 @@
  *
  * @param host name of its host
  * @param domain its failure domain
+ * @param regions the region of each failure domain
  * @param callers where callers connect
  * @param readiness where the balancer asks whether it is ready
  * @param metrics where metrics and the state dump are served
@@ -19,6 +21,7 @@
 public record RouterSettings(
         String host,
         String domain,
+        Map<String, String> regions,
         InetSocketAddress callers,
         InetSocketAddress readiness,
         Optional<InetSocketAddress> metrics,
@@ -28,7 +31,8 @@
 
     /** Returns the same settings with other bounds. */
     public RouterSettings withBounds(Bounds other) {
-        return new RouterSettings(host, domain, callers, readiness, metrics, peers, notices, other);
+        return new RouterSettings(
+                host, domain, regions, callers, readiness, metrics, peers, notices, other);
     }
 
     /**
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -148,7 +148,7 @@
             giveUp("no_time");
             return;
         }
-        Optional<Pick> pick = mPlacement.next(mConfig, mPool);
+        Optional<Pick> pick = mPlacement.next(mConfig, mRoute, mTeam, mPool);
         if (pick.isEmpty()) {
             giveUp(mPlacement.whyNone(mConfig, mPool));
             return;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
@@ -8,6 +8,8 @@
 import org.forkseam.core.traffic.ColdStart;
 import org.forkseam.core.traffic.Pool;
 import org.forkseam.core.traffic.Prompt;
+import org.forkseam.core.traffic.Route;
+import org.forkseam.core.traffic.Team;
 import org.forkseam.core.traffic.TrafficConfig;
 import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.know.Knowledge;
@@ -53,10 +55,13 @@
     }
 
     /** Chooses a target that this request was not sent to yet. */
-    Optional<Pick> next(TrafficConfig config, String pool) {
+    Optional<Pick> next(TrafficConfig config, Route route, Optional<Team> team, String pool) {
         long now = mContext.now();
         ColdStart cold = coldStart(config, pool);
-        List<Target> all = mContext.knowledge().targets().pool(pool);
+        List<Target> all =
+                mContext.placing()
+                        .regions()
+                        .allowed(mContext.knowledge().targets().pool(pool), route, team);
         List<Target> admitted = mContext.coldGate().admitted(all, cold, now);
         int resting = all.size() - admitted.size() + evacuated(admitted);
         CandidateFilter.Candidates c = mContext.placing().filter().of(admitted, mTried, now);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -4,6 +4,7 @@
 import org.forkseam.core.member.ErrorRate;
 import org.forkseam.core.outcome.ComeBack;
 import org.forkseam.core.route.CandidateFilter;
+import org.forkseam.core.route.HomeRegions;
 import org.forkseam.core.route.TargetPicker;
 import org.forkseam.core.util.Clock;
 import org.forkseam.core.util.DecisionLog;
@@ -42,10 +43,15 @@
      * @param filter leaves out targets that cannot take a request
      * @param engines chooses among model engines
      * @param services chooses among the targets of plain services
+     * @param regions leaves out targets of regions that are not allowed
      */
-    record Placing(CandidateFilter filter, TargetPicker engines, TargetPicker services) {
+    record Placing(
+            CandidateFilter filter,
+            TargetPicker engines,
+            TargetPicker services,
+            HomeRegions regions) {
         Placing withEngines(TargetPicker picker) {
-            return new Placing(filter, picker, services);
+            return new Placing(filter, picker, services, regions);
         }
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -8,6 +8,7 @@
 import org.forkseam.core.member.Target;
 import org.forkseam.core.route.CandidateFilter;
 import org.forkseam.core.route.HomePicker;
+import org.forkseam.core.route.HomeRegions;
 import org.forkseam.core.route.LeastLoadedPicker;
 import org.forkseam.core.route.TargetPicker;
 import org.forkseam.core.traffic.CallerLimits;
@@ -86,7 +87,8 @@
                                 new RouterContext.Placing(
                                         CandidateFilter.of(p.random()),
                                         homePicker(mBounds),
-                                        LeastLoadedPicker.of(p.random())),
+                                        LeastLoadedPicker.of(p.random()),
+                                        HomeRegions.of(settings.regions())),
                                 ColdGate.of(p.knowledge()::shareFor, mBounds.coldOvershoot()),
                                 new RepeatBudgets(repeats(mBounds), this::routers),
                                 new Answers(p.protocol(), p.random()),
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigCodec.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigCodec.java
@@ -97,6 +97,7 @@
             Texts.write(b, s.pool());
             b.writeInt(s.weight());
         }
+        Texts.writeAll(b, r.homes());
     }
 
     private static Route readRoute(ByteBuf b) {
@@ -111,7 +112,8 @@
                 b.readInt(),
                 b.readInt(),
                 b.readBoolean(),
-                readShares(b));
+                readShares(b),
+                Texts.readAll(b));
     }
 
     private static List<PoolShare> readShares(ByteBuf b) {
@@ -140,12 +142,15 @@
         Texts.write(b, key);
         Texts.write(b, t.name());
         b.writeInt(t.priority().orElse(NO_PRIORITY));
+        Texts.writeAll(b, t.homes());
     }
 
     private static Team readTeam(ByteBuf b) {
         String name = Texts.read(b);
         int priority = b.readInt();
         return new Team(
-                name, priority == NO_PRIORITY ? OptionalInt.empty() : OptionalInt.of(priority));
+                name,
+                priority == NO_PRIORITY ? OptionalInt.empty() : OptionalInt.of(priority),
+                Texts.readAll(b));
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerSnapshot.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerSnapshot.java
@@ -62,8 +62,9 @@
      *
      * @param name the team's name
      * @param priority its rank, or -1
+     * @param homes its regions
      */
-    record KeyTeam(String name, int priority) {}
+    record KeyTeam(String name, int priority, List<String> homes) {}
 
     static PeerSnapshot of(
             TrafficConfig c,
@@ -77,7 +78,10 @@
                         (k, t) ->
                                 teams.put(
                                         k,
-                                        new KeyTeam(t.name(), t.priority().orElse(NO_PRIORITY))));
+                                        new KeyTeam(
+                                                t.name(),
+                                                t.priority().orElse(NO_PRIORITY),
+                                                t.homes())));
         return new PeerSnapshot(
                 c.version(),
                 c.routes(),
@@ -98,7 +102,7 @@
                             t.priority() == NO_PRIORITY
                                     ? OptionalInt.empty()
                                     : OptionalInt.of(t.priority());
-                    byKey.put(k, new Team(t.name(), priority));
+                    byKey.put(k, new Team(t.name(), priority, t.homes()));
                 });
         return TrafficConfig.of(version, routes, pools, byKey, limits);
     }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
@@ -68,13 +68,14 @@
                                             2,
                                             1,
                                             true,
-                                            List.of(new PoolShare("p", 90)))),
+                                            List.of(new PoolShare("p", 90)),
+                                            List.of("north"))),
                             List.of("gone"),
                             List.of(new Pool("p", 460, true, new ColdStart(3_000, 23.5))),
                             List.of(),
                             Map.of(
-                                    "k", new Team("t", OptionalInt.of(3)),
-                                    "l", new Team("u", OptionalInt.empty())),
+                                    "k", new Team("t", OptionalInt.of(3), List.of()),
+                                    "l", new Team("u", OptionalInt.empty(), List.of())),
                             List.of("m"),
                             CallerLimits.defaults()));
 
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
@@ -66,15 +66,16 @@
                         2,
                         1,
                         false,
-                        List.of(new PoolShare("p", 3), new PoolShare("q", 1)));
+                        List.of(new PoolShare("p", 3), new PoolShare("q", 1)),
+                        List.of("north"));
         TrafficConfig c =
                 TrafficConfig.of(
                         9,
                         List.of(route),
                         List.of(Pool.of("p", 10, true)),
                         Map.of(
-                                "k", new Team("t", OptionalInt.of(2)),
-                                "l", new Team("u", OptionalInt.empty())),
+                                "k", new Team("t", OptionalInt.of(2), List.of()),
+                                "l", new Team("u", OptionalInt.empty(), List.of())),
                         new CallerLimits(1, 2, 3, 4));
         TargetEntry entry = new TargetEntry("i", "p", "10.0.0.1:1", "z", 4, true, 0);
         SharedRow seats = new SharedRow("seats/p", "i,j", 5);
