Split the way of a request: its attempts, what a target gets, what is learned from answers

Change: AttemptTally decides on repeats, OutgoingRequest makes what is sent, AttemptEnd notes what it says of a target, Learned keeps loads and holders. Behaviour, bounds and checks are as they were.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -149,7 +149,7 @@
         if (mEnded) {
             return;
         }
-        if (!mListener.isWanted()) {
+        if (mListener.isDone()) {
             mConnection.giveBack();
             mConnection = null;
             cancel();
@@ -225,10 +225,6 @@
      */
     @Override
     public void onReadComplete() {
-        passEvents();
-    }
-
-    private void passEvents() {
         if (mEnded || !mStream || mHead == null || !isSuccess()) {
             return;
         }
@@ -251,7 +247,7 @@
 
     @Override
     public void onEnd() {
-        passEvents();
+        onReadComplete();
         mConnection = null;
         if (mEnded) {
             return;
@@ -283,7 +279,7 @@
 
     @Override
     public void onBroken(BreakKind kind, String detail) {
-        passEvents();
+        onReadComplete();
         mConnection = null;
         end(AttemptEnd.of(kind, detail));
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptEnd.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptEnd.java
@@ -1,5 +1,7 @@
 package org.forkseam.direct.flow;
 
+import org.forkseam.core.member.ErrorRate;
+import org.forkseam.core.member.Target;
 import org.forkseam.direct.io.BreakKind;
 
 /**
@@ -51,6 +53,33 @@
         }
     }
 
+    /**
+     * Notes on the target what this end says of it.
+     *
+     * @param pool the share of all the pool's requests that fail
+     */
+    void teach(Target t, ErrorRate pool, long nowMillis) {
+        if (kind == Kind.ANSWERED || kind == Kind.FAILED) {
+            t.errors().note(kind == Kind.FAILED);
+            pool.note(kind == Kind.FAILED);
+        }
+        switch (kind) {
+            case ANSWERED -> t.health().onSuccess(nowMillis);
+            case FAILED -> {
+                if (t.errors().standsOutOf(pool)) {
+                    t.health().onFailure(nowMillis);
+                }
+            }
+            case WRONG_TARGET -> t.markGone();
+            case REFUSED -> t.onRefused(nowMillis);
+            default -> {
+                if (kind.isFault()) {
+                    t.health().onFailure(nowMillis);
+                }
+            }
+        }
+    }
+
     static AttemptEnd of(Kind kind, String detail) {
         return new AttemptEnd(kind, detail);
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptListener.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptListener.java
@@ -4,8 +4,8 @@
 
 /** Hears what becomes of an attempt. Called on the event loop. */
 interface AttemptListener {
-    /** Returns whether the request is still to be sent: its caller is there. */
-    boolean isWanted();
+    /** Returns whether the request needs no target any more: it has ended, or its caller left. */
+    boolean isDone();
 
     /** Tells that an answer has begun which may be passed on as it comes. */
     void onStream(Attempt attempt);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -1,13 +1,10 @@
 package org.forkseam.direct.flow;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 
 import org.forkseam.core.member.Target;
 import org.forkseam.core.route.Pick;
@@ -19,13 +16,13 @@
 
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /**
  * Carries one request from its reading to its final answer. Used on the event loop.
  *
- * <p>One attempt is under way at a time. Another follows only if the last target has certainly not
- * run the request, or if the request may be repeated; the route bounds the targets it is sent to,
- * and the pool's budget bounds all repeats.
+ * <p>One attempt is under way at a time; whether another follows is decided by {@link
+ * AttemptTally}.
  */
 final class RequestFlow implements AttemptListener, Intake.Item {
     /** The final answer goes out so long before the caller stops waiting. */
@@ -41,24 +38,19 @@
      */
     private static final double LEAST_SHARE_LEFT = 0.1;
 
-    /** Targets that were not reachable, after which a request is refused. */
-    private static final int MAX_UNREACHABLE = 4;
-
     private final RouterContext mContext;
     private final CallerRequest mRequest;
     private final CallerSink mSink;
     private final FlowRecord mRecord;
     private final long mReadAt;
     private final RequestPlacement mPlacement;
+    private final AttemptTally mTally = new AttemptTally();
     private TrafficConfig mConfig;
     private Route mRoute;
     private Optional<Team> mTeam = Optional.empty();
     private String mPool = "";
     private long mDeadline;
     private Attempt mAttempt;
-    private int mSent;
-    private int mUnreachable;
-    private boolean mMayHaveRun;
     private boolean mStreaming;
     private boolean mDone;
     private String mLastId;
@@ -89,11 +81,6 @@
         return mDone || !mSink.isOpen();
     }
 
-    @Override
-    public boolean isWanted() {
-        return !isDone();
-    }
-
     /** Checks the request by the configuration in force; a newer one is asked anew. */
     @Override
     public Intake.Readiness prepare() {
@@ -174,35 +161,20 @@
     }
 
     private FullHttpRequest requestFor(Target t) {
-        mSent++;
-        FullHttpRequest r =
-                new DefaultFullHttpRequest(
-                        HttpVersion.HTTP_1_1,
-                        mRequest.method(),
-                        mRequest.uri(),
-                        Unpooled.wrappedBuffer(mRequest.body()));
-        r.headers().set(mRequest.headers());
-        HopHeaders.remove(r.headers(), mContext.protocol()::isEndToEnd);
-        r.headers().remove(HttpHeaderNames.EXPECT);
-        if (mRequest.body().length > 0
-                || mRequest.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-            r.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, mRequest.body().length);
-        }
+        mTally.onSent();
+        return OutgoingRequest.of(mContext.protocol(), mRequest, handover(t));
+    }
+
+    private Handover handover(Target t) {
         int priority =
-                mTeam.map(Team::priority)
-                        .map(p -> p.orElse(mRoute.priority()))
-                        .orElse(mRoute.priority());
-        mContext.protocol()
-                .handOver(
-                        r.headers(),
-                        new Handover(
-                                t.entry().id(),
-                                Math.max(1, mDeadline - mContext.now()),
-                                mTeam.map(Team::name),
-                                priority,
-                                Optional.ofNullable(mLastId),
-                                mPlacement.copyFrom(t, mPool)));
-        return r;
+                mTeam.map(Team::priority).orElse(OptionalInt.empty()).orElse(mRoute.priority());
+        return new Handover(
+                t.entry().id(),
+                Math.max(1, mDeadline - mContext.now()),
+                mTeam.map(Team::name),
+                priority,
+                Optional.ofNullable(mLastId),
+                mPlacement.copyFrom(t, mPool));
     }
 
     @Override
@@ -210,7 +182,7 @@
         mAttempt = null;
         long now = mContext.now();
         mContext.counters().onAttempt(end.kind().name());
-        learn(a, end, now);
+        end.teach(a.target(), mContext.errors(mPool), now);
         rememberLastId(a);
         if (mDone) {
             return;
@@ -219,8 +191,8 @@
             finishAnswered(a);
             return;
         }
-        mRecord.onAttemptEnd(a, end, mSent);
-        mMayHaveRun |= end.kind().mayHaveRun();
+        mRecord.onAttemptEnd(a, end, mTally.sent());
+        mTally.onFailed(end.kind().mayHaveRun());
         if (mayTryAgain(end, now)) {
             attempt();
             return;
@@ -228,48 +200,11 @@
         finishFailed(a, end);
     }
 
-    private void learn(Attempt a, AttemptEnd end, long now) {
-        Target t = a.target();
-        if (end.kind() == AttemptEnd.Kind.ANSWERED || end.kind() == AttemptEnd.Kind.FAILED) {
-            boolean failed = end.kind() == AttemptEnd.Kind.FAILED;
-            t.errors().note(failed);
-            mContext.errors(mPool).note(failed);
-        }
-        switch (end.kind()) {
-            case ANSWERED -> t.health().onSuccess(now);
-            case FAILED -> {
-                if (t.errors().standsOutOf(mContext.errors(mPool))) {
-                    t.health().onFailure(now);
-                }
-            }
-            case WRONG_TARGET -> t.markGone();
-            case REFUSED -> t.onRefused(now);
-            default -> {
-                if (end.kind().isFault()) {
-                    t.health().onFailure(now);
-                }
-            }
-        }
-    }
-
     private boolean mayTryAgain(AttemptEnd end, long now) {
-        if (now >= mDeadline) {
-            return false;
-        }
-        if (end.kind() == AttemptEnd.Kind.UNREACHABLE
-                || end.kind() == AttemptEnd.Kind.NO_CONNECTION) {
-            return ++mUnreachable < MAX_UNREACHABLE;
-        }
-        if (mMayHaveRun && !mRoute.kind().isRepeatable()) {
-            return false;
-        }
-        if (mStreaming && mLastId == null) {
-            return false;
-        }
-        if (mSent >= mRoute.attempts()) {
-            return false;
-        }
-        return mContext.budgets().pool(mPool).tryRepeat(now);
+        boolean tooLate = mStreaming && mLastId == null;
+        return now < mDeadline
+                && mTally.allowsAnother(
+                        end, mRoute, tooLate, () -> mContext.budgets().pool(mPool).tryRepeat(now));
     }
 
     // ---------------------------------------------------------------- streams
@@ -328,7 +263,7 @@
     }
 
     private boolean isStuck(Attempt a, long now) {
-        if (!mRoute.kind().isRepeatable() || mSent >= mRoute.attempts()) {
+        if (!mTally.leavesRepeats(mRoute)) {
             return false;
         }
         return Patience.isOver(
@@ -352,7 +287,7 @@
         if (mAttempt != null) {
             Attempt a = mAttempt;
             mAttempt = null;
-            mMayHaveRun |= a.isSent();
+            mTally.onFailed(a.isSent());
             a.cancel();
             mContext.counters().onAttempt("DEADLINE");
             if (a.isSent() && a.target().isSilent(mContext.now())) {
@@ -398,7 +333,7 @@
             mSink.breakOff();
             return;
         }
-        if (!mMayHaveRun) {
+        if (!mTally.mayHaveRun()) {
             finishOwn(
                     "refused_" + why,
                     mContext.answers().notRun(mRequest.id(), "not run: " + why, backInMillis()));
@@ -416,7 +351,7 @@
         return mContext.comeBack(mPool).onRefused(mContext.now());
     }
 
-    private void finishOwn(String outcome, io.netty.handler.codec.http.FullHttpResponse r) {
+    private void finishOwn(String outcome, FullHttpResponse r) {
         finish(outcome);
         mSink.answer(r);
     }
@@ -430,7 +365,7 @@
                         mRoute == null ? "" : mRoute.name(),
                         mTeam.map(Team::name).orElse(""),
                         mConfig == null ? 0 : mConfig.version(),
-                        mSent,
+                        mTally.sent(),
                         mPlacement.copySource()));
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -8,10 +8,7 @@
 import org.forkseam.core.member.TargetDirectory;
 import org.forkseam.core.member.TargetEntry;
 import org.forkseam.core.route.HolderMemory;
-import org.forkseam.core.share.HolderExchange;
-import org.forkseam.core.share.HolderFact;
 import org.forkseam.core.share.LoadExchange;
-import org.forkseam.core.share.LoadReading;
 import org.forkseam.core.traffic.TrafficConfig;
 import org.forkseam.core.util.Clock;
 import org.forkseam.direct.log.Event;
@@ -49,8 +46,7 @@
     private final ConfigFollower mConfig;
     private final TargetFollower mTargets;
     private final Seats mSeats;
-    private final HolderMemory mHolders = HolderMemory.create();
-    private final HolderExchange mHolderNews = HolderExchange.create();
+    private final Learned mLearned;
     private long mEvacuationChanges;
     private boolean mAsking;
     private boolean mStopped;
@@ -97,6 +93,7 @@
                 new FollowerBase.Surroundings(loop, clock, random, mLink, mWatch, this::isComplete);
         mTargets = new TargetFollower(around, sources.fleet(), listMillis);
         mConfig = new ConfigFollower(around, sources.fleet(), new OperatorListener());
+        mLearned = new Learned(clock, mTargets.targets());
         mSeats = new Seats(around, sources.shared(), mTargets.targets());
     }
 
@@ -203,15 +200,12 @@
 
     /** Returns which targets have answered which keys. */
     public HolderMemory holders() {
-        return mHolders;
+        return mLearned.holders();
     }
 
     /** Notes that a target has answered a request with a key, and so has read its prompt. */
     public void onAnswered(String pool, long key, Target t) {
-        boolean news = mHolders.onAnswered(key, t.entry().id(), mClock.nowMillis());
-        if (news && !mSeats.tellsOf(pool, key, t.entry().id())) {
-            mHolderNews.add(new HolderFact(key, t.shortHash()));
-        }
+        mLearned.onAnswered(key, t, mSeats.tellsOf(pool, key, t.entry().id()));
     }
 
     /** Returns this router's share of what a target takes, or empty while routers are unknown. */
@@ -243,7 +237,7 @@
             return;
         }
         if (m instanceof PeerMessage.Learned l) {
-            onLearned(l);
+            mLearned.take(l);
             return;
         }
         if (m instanceof PeerMessage.Operators o) {
@@ -281,24 +275,8 @@
     }
 
     private void tellLearned() {
-        List<LoadReading> loads = LoadExchange.digest(targets().all(), mClock.nowMillis());
-        List<HolderFact> holders = mHolderNews.digest();
-        if (mStopped || loads.isEmpty() && holders.isEmpty()) {
-            return;
-        }
-        mLink.tellAny(new PeerMessage.Learned(loads, holders));
-    }
-
-    private void onLearned(PeerMessage.Learned l) {
-        LoadExchange.take(l.loads(), targets()::findByShortHash, mClock.nowMillis());
-        for (HolderFact f : l.holders()) {
-            targets().findByShortHash(f.target()).ifPresent(t -> onHolder(f, t));
-        }
-    }
-
-    private void onHolder(HolderFact f, Target t) {
-        if (mHolders.onAnswered(f.key(), t.entry().id(), mClock.nowMillis())) {
-            mHolderNews.add(f);
+        if (!mStopped) {
+            mLearned.news().ifPresent(mLink::tellAny);
         }
     }
 
--- /dev/null
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Learned.java
@@ -0,0 +1,68 @@
+package org.forkseam.direct.know;
+
+import org.forkseam.core.member.Target;
+import org.forkseam.core.member.TargetDirectory;
+import org.forkseam.core.route.HolderMemory;
+import org.forkseam.core.share.HolderExchange;
+import org.forkseam.core.share.HolderFact;
+import org.forkseam.core.share.LoadExchange;
+import org.forkseam.core.share.LoadReading;
+import org.forkseam.core.util.Clock;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Holds what routers have learned from targets' answers, this one's own and others': their load,
+ * and which have read a prompt. Used on the event loop.
+ */
+final class Learned {
+    private final Clock mClock;
+    private final TargetDirectory mTargets;
+    private final HolderMemory mHolders = HolderMemory.create();
+    private final HolderExchange mHolderNews = HolderExchange.create();
+
+    Learned(Clock clock, TargetDirectory targets) {
+        mClock = clock;
+        mTargets = targets;
+    }
+
+    HolderMemory holders() {
+        return mHolders;
+    }
+
+    /**
+     * Notes that a target has answered a request with a key, and so has read its prompt.
+     *
+     * @param known whether all routers take that for granted
+     */
+    void onAnswered(long key, Target t, boolean known) {
+        boolean news = mHolders.onAnswered(key, t.entry().id(), mClock.nowMillis());
+        if (news && !known) {
+            mHolderNews.add(new HolderFact(key, t.shortHash()));
+        }
+    }
+
+    /** Returns what another router should be told, if there is anything. */
+    Optional<PeerMessage> news() {
+        List<LoadReading> loads = LoadExchange.digest(mTargets.all(), mClock.nowMillis());
+        List<HolderFact> holders = mHolderNews.digest();
+        return loads.isEmpty() && holders.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new PeerMessage.Learned(loads, holders));
+    }
+
+    /** Takes in what another router has learned. */
+    void take(PeerMessage.Learned l) {
+        LoadExchange.take(l.loads(), mTargets::findByShortHash, mClock.nowMillis());
+        for (HolderFact f : l.holders()) {
+            mTargets.findByShortHash(f.target()).ifPresent(t -> takeHolder(f, t));
+        }
+    }
+
+    private void takeHolder(HolderFact f, Target t) {
+        if (mHolders.onAnswered(f.key(), t.entry().id(), mClock.nowMillis())) {
+            mHolderNews.add(f);
+        }
+    }
+}
