Wait until the stand-in's host list has changed

The stand-in only posts the change to its loop; a request that comes in the same turn of the loop is served before posted tasks run.

Change: putHost and removeHost return once the change shows. The test and its checks are unchanged. No product code is touched.

Ruled out: the product's reader (its answer was the stand-in's, with the stand-in's tag).

--- a/forkseam-standin/src/main/java/org/forkseam/standin/PlatformStandin.java
+++ b/forkseam-standin/src/main/java/org/forkseam/standin/PlatformStandin.java
@@ -107,24 +107,27 @@
         mWeightPermits.set(count);
     }
 
-    /** Puts a host in the list, or changes it. */
+    /** Puts a host in the list, or changes it; requests that come after this returns see it. */
     public void putHost(HostEntry host) {
-        mServer.loop()
-                .execute(
-                        () -> {
-                            mHosts.put(host.host(), host);
-                            showHosts();
-                        });
+        change(() -> mHosts.put(host.host(), host));
     }
 
-    /** Takes a host off the list. */
+    /** Takes a host off the list; requests that come after this returns see it. */
     public void removeHost(String host) {
+        change(() -> mHosts.remove(host));
+    }
+
+    /** Waits until a change is done: a turn of the loop serves requests before it runs tasks. */
+    private void change(Runnable what) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
         mServer.loop()
                 .execute(
                         () -> {
-                            mHosts.remove(host);
+                            what.run();
                             showHosts();
+                            done.complete(null);
                         });
+        done.join();
     }
 
     /** Returns reads the table service has served. */
