Bound what the cold gate remembers, and say what seats were added in one line

Cause: found on reading the whole change again. Seats#noteAdded cut a list by two bounds where skipping the known part says the same.

Seen and left: PeerNotice.Kind has one value; TargetNews#isEmpty is used by tests only; RequestPlacement#whyNone does not look at regions; SharedReadingTest repeats its set-up of three routers.

--- a/forkseam-core/src/main/java/org/forkseam/core/admit/ColdGate.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/admit/ColdGate.java
@@ -2,11 +2,11 @@
 
 import org.forkseam.core.member.Target;
 import org.forkseam.core.traffic.ColdStart;
+import org.forkseam.core.util.BoundedMap;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,8 +22,11 @@
     /** The limit holds for any span of this length. Unit: milliseconds. */
     private static final long SPAN_MILLIS = 1_000;
 
+    /** Targets remembered; those that were cold last. More than are cold at once in 830. */
+    private static final int MAX_TARGETS = 1_024;
+
     private final Routers mRouters;
-    private final Map<String, Deque<Long>> mSent = new HashMap<>();
+    private final Map<String, Deque<Long>> mSent = BoundedMap.byAccess(MAX_TARGETS);
     private double mOvershoot;
     private long mPassedOver;
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
@@ -198,11 +198,7 @@
     private void noteAdded(String pool, SeatTable before, SeatTable after) {
         int known = before.holders().size();
         if (known > 0 && mLastRequest.containsKey(pool)) {
-            mAddedWhileBusy.addAll(
-                    after.holders()
-                            .subList(
-                                    Math.min(known, after.holders().size()),
-                                    after.holders().size()));
+            after.holders().stream().skip(known).forEach(mAddedWhileBusy::add);
         }
         mAddedWhileBusy.retainAll(allHolders());
     }
