Name what a request asks for in its log lines

Cause: the lines of the incident cannot tell whether two requests are the same: ids are new at each try. Ruled out: the routing key (shared by many requests). Before: no line names the content; after: attempt_ended and each last line do (path, key, body, hashed). Conclusion: kept; whether one request was at every target that ended is now one grep.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerRequest.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerRequest.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 
+import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.spi.CallerHead;
 
 /**
@@ -34,6 +35,15 @@
         return query < 0 ? uri : uri.substring(0, query);
     }
 
+    /**
+     * Returns a hash of what the request asks for: its path and query, its caller's key and its
+     * body. A request that comes again under another id has the same.
+     */
+    long contentHash() {
+        long what = Hashes.mix(Hashes.of(uri), Hashes.of(head.key().orElse("")));
+        return Hashes.mix(what, Hashes.of(body));
+    }
+
     /** Returns the request's id, or an empty text if it has none. */
     String id() {
         return head.requestId().orElse("");
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/FlowRecord.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/FlowRecord.java
@@ -13,6 +13,7 @@
 final class FlowRecord {
     private final RouterContext mContext;
     private final CallerRequest mRequest;
+    private final String mContent;
     private Optional<Choice> mChoice = Optional.empty();
 
     /**
@@ -29,6 +30,7 @@
     FlowRecord(RouterContext context, CallerRequest request) {
         mContext = context;
         mRequest = request;
+        mContent = Long.toHexString(request.contentHash());
     }
 
     private long now() {
@@ -68,6 +70,7 @@
                 a.target().entry().id());
         Event.of("attempt_ended")
                 .with("request", mRequest.id())
+                .with("content", mContent)
                 .with("target", a.target().entry().id())
                 .with("address", a.target().entry().address())
                 .with("end", end.kind())
@@ -87,6 +90,7 @@
         Event e =
                 Event.of(outcome)
                         .with("request", mRequest.id())
+                        .with("content", mContent)
                         .with("route", s.route())
                         .with("team", s.team())
                         .with("config", s.config())
