--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -114,6 +114,15 @@
         return (int) mHash;
     }
 
+    /**
+     * Returns part of a hash of its id and start, never 0: alike on all routers, another for each
+     * start.
+     */
+    public int startHash() {
+        int hash = (int) Hashes.mix(mHash, mEntry.born());
+        return hash == 0 ? 1 : hash;
+    }
+
     /**
      * Returns whether it may be cold: by its own word, or since its failure domain has come back
      * from an evacuation so short a while ago that its word may still be under way.
--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetEntry.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetEntry.java
@@ -3,15 +3,18 @@
 import org.forkseam.core.util.Hashes;
 
 /**
- * Holds what a target has recorded of itself. A restarted target has a new id.
+ * Holds what a target has recorded of itself. A restarted target has a new id, or the same id and a
+ * later start.
  *
- * @param id names one life of the target
+ * @param id names the target
  * @param pool the pool it serves
  * @param address where it listens, IP:PORT
  * @param domain its failure domain
  * @param slots requests it works on at a time
  * @param leaving whether it takes no new work
  * @param coldMillis for how long it stays cold, as of its last word; 0 if it is not
+ * @param born when it started, by its own time of day in milliseconds since the epoch; 0 if it does
+ *     not tell
  * @since 0.2
  */
 public record TargetEntry(
@@ -21,7 +24,20 @@
         String domain,
         int slots,
         boolean leaving,
-        long coldMillis) {
+        long coldMillis,
+        long born) {
+
+    /** Creates the entry of a target that does not tell when it started. */
+    public TargetEntry(
+            String id,
+            String pool,
+            String address,
+            String domain,
+            int slots,
+            boolean leaving,
+            long coldMillis) {
+        this(id, pool, address, domain, slots, leaving, coldMillis, 0);
+    }
 
     /**
      * Returns a hash of all fields, of the cold time only whether there is any: it runs off by
@@ -44,6 +60,8 @@
                         + '|'
                         + leaving
                         + '|'
-                        + (coldMillis > 0));
+                        + (coldMillis > 0)
+                        + '|'
+                        + born);
     }
 }
--- a/forkseam-core/src/main/java/org/forkseam/core/outcome/RetryAfter.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/outcome/RetryAfter.java
@@ -14,4 +14,10 @@
         long w = Math.max(MIN_MILLIS, Math.min(MAX_MILLIS, waitMillis));
         return w / 2 + random.nextLong(w + 1);
     }
+
+    /** Returns a moment within a tenth after a wait before which coming back is in vain. */
+    public static long notBefore(long waitMillis, RandomGenerator random) {
+        long w = Math.max(MIN_MILLIS, waitMillis);
+        return w + random.nextLong(w / 10 + 1);
+    }
 }
--- a/forkseam-core/src/main/java/org/forkseam/core/util/Hashes.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/util/Hashes.java
@@ -30,6 +30,11 @@
         return h ^ (h >>> 31);
     }
 
+    /** Writes a hash as 16 hexadecimal digits. */
+    public static String text(long hash) {
+        return HexFormat.of().toHexDigits(hash);
+    }
+
     /** Returns SHA-256 of a text in lower-case hexadecimal. */
     public static String sha256(String text) {
         try {
--- a/forkseam-core/src/test/java/org/forkseam/core/share/HolderExchangeTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/share/FactExchangeTest.java
@@ -10,11 +10,12 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 
-/** Tests how far it gets about which target has read a prompt. */
-class HolderExchangeTest {
+/** Tests how far facts get that routers pass on, such as which target has read a prompt. */
+class FactExchangeTest {
     /** Is a router that passes on what it learns. */
     private static final class Router {
-        private final HolderExchange mExchange = HolderExchange.create();
+        private final FactExchange<HolderFact> mExchange =
+                FactExchange.of(HolderFact.MAX_FACTS, f -> 0);
         private final Set<HolderFact> mKnown = new HashSet<>();
 
         void learn(HolderFact f) {
@@ -77,10 +78,31 @@
 
     @Test
     void aMessageHoldsABoundedNumberWhateverHappens() {
-        HolderExchange x = HolderExchange.create();
+        FactExchange<HolderFact> x = FactExchange.of(HolderFact.MAX_FACTS, f -> 0);
         for (int i = 0; i < 10_000; i++) {
             x.add(new HolderFact(i, 1));
         }
-        assertThat(x.digest()).hasSize(HolderExchange.MAX_FACTS);
+        assertThat(x.digest()).hasSize(HolderFact.MAX_FACTS);
+    }
+
+    /** What decides something is told before what waits only because there is so much of it. */
+    @Test
+    void theHighestRankIsToldFirstAndTheNewestAmongEquals() {
+        FactExchange<Integer> x = FactExchange.of(2, f -> f / 100);
+        for (int i = 0; i < 90; i++) {
+            x.add(i);
+        }
+        x.add(300);
+        x.add(91);
+        assertThat(x.digest()).containsExactly(300, 91).inOrder();
+    }
+
+    @Test
+    void whatIsOfNoUseAnyMoreIsNotTold() {
+        FactExchange<Integer> x = FactExchange.of(2, f -> 0);
+        x.add(1);
+        x.add(2);
+        x.removeIf(f -> f == 1);
+        assertThat(x.digest()).containsExactly(2);
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Answers.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Answers.java
@@ -40,10 +40,27 @@
         return r;
     }
 
-    /** Builds the answer to a request that has not run and never will. */
+    /**
+     * Builds the answer to a request that has not run and never will.
+     *
+     * @param backInMillis when it is worth coming back, about
+     */
     FullHttpResponse notRun(String requestId, String why, long backInMillis) {
+        return refusal(requestId, why, RetryAfter.spread(backInMillis, mRandom));
+    }
+
+    /**
+     * Builds the answer to a request that no target gets for a while.
+     *
+     * @param backInMillis before which it is in vain to come back
+     */
+    FullHttpResponse notRunBefore(String requestId, String why, long backInMillis) {
+        return refusal(requestId, why, RetryAfter.notBefore(backInMillis, mRandom));
+    }
+
+    private FullHttpResponse refusal(String requestId, String why, long retryAfterMillis) {
         FullHttpResponse r = own(requestId, HttpResponseStatus.SERVICE_UNAVAILABLE, why);
-        mProtocol.retryAfter(r.headers(), RetryAfter.spread(backInMillis, mRandom));
+        mProtocol.retryAfter(r.headers(), retryAfterMillis);
         return r;
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -49,6 +49,7 @@
     private boolean mEnded;
     private long mSentAt;
     private long mHeardAt;
+    private long mHeadAt;
 
     Attempt(
             RouterContext context,
@@ -118,6 +119,11 @@
         return isSent() ? now - Math.max(mSentAt, mHeardAt) : 0;
     }
 
+    /** Returns for how long the target has been bringing its answer. */
+    long answeringMillis(long now) {
+        return mHeadAt == 0 ? 0 : now - mHeadAt;
+    }
+
     long ageMillis(long now) {
         return now - mStarted;
     }
@@ -160,6 +166,11 @@
             end(AttemptEnd.of(AttemptEnd.Kind.UNREACHABLE, "left meanwhile"));
             return;
         }
+        if (!mListener.maySend()) {
+            mConnection.giveBack();
+            end(AttemptEnd.of(AttemptEnd.Kind.UNREACHABLE, "refused meanwhile"));
+            return;
+        }
         mSentAt = mContext.now();
         mConnection.send(mRequest.get(), this::belongs, this);
     }
@@ -183,6 +194,7 @@
     @Override
     public void onHead(HttpResponse head) {
         heard();
+        mHeadAt = mContext.now();
         mHead = head;
         mDecoded = mContext.protocol().decode(head);
         mDecoded.load().ifPresent(l -> mTarget.onLoad(l, mContext.now()));
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptEnd.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptEnd.java
@@ -87,7 +87,7 @@
     static AttemptEnd of(BreakKind kind, String detail) {
         return new AttemptEnd(
                 switch (kind) {
-                    case UNREACHABLE -> Kind.UNREACHABLE;
+                    case UNREACHABLE, NOBODY_LISTENS -> Kind.UNREACHABLE;
                     case NO_CONNECTION_FREE -> Kind.NO_CONNECTION;
                     case MALFORMED -> Kind.MALFORMED;
                     case CLOSED, RESET -> Kind.BROKEN;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptListener.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptListener.java
@@ -7,6 +7,9 @@
     /** Returns whether the request needs no target any more: it has ended, or its caller left. */
     boolean isDone();
 
+    /** Returns whether a target may get the request now. */
+    boolean maySend();
+
     /** Tells that an answer has begun which may be passed on as it comes. */
     void onStream(Attempt attempt);
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/FlowRecord.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/FlowRecord.java
@@ -2,6 +2,7 @@
 
 import org.forkseam.core.member.Target;
 import org.forkseam.core.route.Pick;
+import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.log.Event;
 
 import java.util.Optional;
@@ -27,10 +28,10 @@
     /** Holds what a request's last line tells beside its outcome. */
     record Summary(String route, String team, long config, int sent, Optional<String> copySource) {}
 
-    FlowRecord(RouterContext context, CallerRequest request) {
+    FlowRecord(RouterContext context, CallerRequest request, long content) {
         mContext = context;
         mRequest = request;
-        mContent = Long.toHexString(request.contentHash());
+        mContent = Hashes.text(content);
     }
 
     private long now() {
--- /dev/null
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/QuarantineCheck.java
@@ -0,0 +1,60 @@
+package org.forkseam.direct.flow;
+
+import org.forkseam.direct.know.Quarantine;
+
+import java.util.function.Consumer;
+
+/**
+ * Keeps one request from targets if targets have ended under what it asks for. Asked before each
+ * attempt and again right before sending: the news may come while a connection opens. Used on the
+ * event loop.
+ */
+final class QuarantineCheck {
+    private final Quarantine mQuarantine;
+    private final long mContent;
+    private boolean mAsked;
+    private boolean mTrial;
+
+    QuarantineCheck(Quarantine quarantine, long content) {
+        mQuarantine = quarantine;
+        mContent = content;
+    }
+
+    /** Returns whether a target may get the request. */
+    boolean maySend() {
+        return mTrial || mQuarantine.verdict(mContent) == Quarantine.Verdict.SERVE;
+    }
+
+    /** Returns whether this router may ask to send the request once, its term being over. */
+    boolean mayAsk() {
+        return !mAsked && mQuarantine.verdict(mContent) == Quarantine.Verdict.TRY;
+    }
+
+    /** Asks for that. */
+    void ask(Consumer<Boolean> granted) {
+        mAsked = true;
+        mQuarantine
+                .askToTry(mContent)
+                .thenAccept(
+                        g -> {
+                            mTrial = g;
+                            granted.accept(g);
+                        });
+    }
+
+    /** Notes how an attempt ended; a trial is one attempt. */
+    void onAttemptEnd(boolean answered) {
+        if (mTrial) {
+            mTrial = false;
+            mQuarantine.onTrialEnded(mContent, answered);
+        }
+        if (answered) {
+            mQuarantine.onAnswered(mContent);
+        }
+    }
+
+    /** Returns after how many milliseconds a refused caller should come back. */
+    long backInMillis() {
+        return mQuarantine.backInMillis(mContent);
+    }
+}
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -41,6 +41,8 @@
     private final RouterContext mContext;
     private final CallerRequest mRequest;
     private final CallerSink mSink;
+    private final long mContent;
+    private final QuarantineCheck mQuarantine;
     private final FlowRecord mRecord;
     private final long mReadAt;
     private final RequestPlacement mPlacement;
@@ -59,7 +61,9 @@
         mContext = context;
         mRequest = request;
         mSink = sink;
-        mRecord = new FlowRecord(context, request);
+        mContent = request.contentHash();
+        mQuarantine = new QuarantineCheck(context.knowledge().quarantine(), mContent);
+        mRecord = new FlowRecord(context, request, mContent);
         mPlacement = new RequestPlacement(context, request);
         mReadAt = context.now();
     }
@@ -135,6 +139,10 @@
             giveUp("no_time");
             return;
         }
+        if (!mQuarantine.maySend()) {
+            refuseOrTry();
+            return;
+        }
         Optional<Pick> pick = mPlacement.next(mConfig, mRoute, mTeam, mPool);
         if (pick.isEmpty()) {
             giveUp(mPlacement.whyNone(mConfig, mPool));
@@ -155,6 +163,25 @@
         mAttempt.start(maxIdleMillis());
     }
 
+    /** Targets have ended under the request: it gets no other, but for a trial now and then. */
+    private void refuseOrTry() {
+        if (!mQuarantine.mayAsk()) {
+            giveUpQuarantined();
+            return;
+        }
+        mQuarantine.ask(
+                granted -> {
+                    if (!mDone) {
+                        attempt();
+                    }
+                });
+    }
+
+    @Override
+    public boolean maySend() {
+        return mQuarantine.maySend();
+    }
+
     /** A kept connection may have been forgotten: what cannot be repeated avoids old ones. */
     private long maxIdleMillis() {
         return mRoute.kind().isRepeatable() ? 5_000 : 2_000;
@@ -183,6 +210,10 @@
         long now = mContext.now();
         mContext.counters().onAttempt(end.kind().name());
         end.teach(a.target(), mContext.errors(mPool), now);
+        mQuarantine.onAttemptEnd(end.kind() == AttemptEnd.Kind.ANSWERED);
+        if (end.kind() == AttemptEnd.Kind.BROKEN) {
+            mContext.crashes().onBroken(a.target(), mContent, a.answeringMillis(now));
+        }
         rememberLastId(a);
         if (mDone) {
             return;
@@ -328,17 +359,37 @@
     }
 
     private void giveUp(String why) {
+        if (mStreaming || mTally.mayHaveRun()) {
+            fail(why);
+            return;
+        }
+        finishOwn(
+                "refused_" + why,
+                mContext.answers().notRun(mRequest.id(), "not run: " + why, backInMillis()));
+    }
+
+    /** Ends a request under which targets end. */
+    private void giveUpQuarantined() {
+        if (mStreaming || mTally.mayHaveRun()) {
+            fail("quarantined");
+            return;
+        }
+        finishOwn(
+                "refused_quarantined",
+                mContext.answers()
+                        .notRunBefore(
+                                mRequest.id(),
+                                "not run: targets have ended under this request",
+                                mQuarantine.backInMillis()));
+    }
+
+    /** Ends a request that may have run. */
+    private void fail(String why) {
         if (mStreaming) {
             finish("broken_off");
             mSink.breakOff();
             return;
         }
-        if (!mTally.mayHaveRun()) {
-            finishOwn(
-                    "refused_" + why,
-                    mContext.answers().notRun(mRequest.id(), "not run: " + why, backInMillis()));
-            return;
-        }
         boolean late = mContext.now() >= mDeadline;
         HttpResponseStatus status =
                 late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -24,6 +24,7 @@
     private final Targets mTargets;
     private Placing mPlacing;
     private final ColdGate mColdGate;
+    private final CrashWatch mCrashes;
     private final RepeatBudgets mBudgets;
     private final Answers mAnswers;
     private final FlowCounters mCounters;
@@ -76,6 +77,7 @@
         mTargets = p.targets();
         mPlacing = p.placing();
         mColdGate = p.coldGate();
+        mCrashes = new CrashWatch(p.targets(), p.knowledge().quarantine());
         mBudgets = p.budgets();
         mAnswers = p.answers();
         mCounters = p.counters();
@@ -141,6 +143,11 @@
         return mColdGate;
     }
 
+    /** Returns what finds out which targets have ended, and under which requests. */
+    CrashWatch crashes() {
+        return mCrashes;
+    }
+
     DecisionLog decisions() {
         return mDecisions;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -215,6 +215,7 @@
         m.put("target_connections", mContext.targets().open());
         m.put("target_connections_opened", mContext.targets().opened());
         m.put("cold_passed_over", mContext.coldGate().passedOver());
+        m.put("target_crashes", mContext.crashes().crashes());
         m.put("leaving", mContext.isLeaving());
         m.put("targets", mKnowledge.targets().all().stream().map(this::dump).toList());
         return m;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/BreakKind.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/BreakKind.java
@@ -4,6 +4,8 @@
 public enum BreakKind {
     /** No connection came up; no byte of the request was sent. */
     UNREACHABLE,
+    /** The host answers that nobody listens at the address; no byte was sent. */
+    NOBODY_LISTENS,
     /** The target takes no further connection of this router; no byte was sent. */
     NO_CONNECTION_FREE,
     /** The connection ended before the answer was whole. */
@@ -15,6 +17,6 @@
 
     /** Returns whether the target may have run the request. */
     public boolean mayHaveRun() {
-        return this != UNREACHABLE && this != NO_CONNECTION_FREE;
+        return this != UNREACHABLE && this != NOBODY_LISTENS && this != NO_CONNECTION_FREE;
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/ConnectionPool.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/ConnectionPool.java
@@ -57,6 +57,11 @@
             }
             c.close();
         }
+        open(user);
+    }
+
+    /** Brings a connection that is opened anew, whatever idle ones there are. */
+    public void open(ConnectionUser user) {
         if (mOpen >= mLimit) {
             user.onNone(BreakKind.NO_CONNECTION_FREE, mOpen + " connections open");
             return;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/Connector.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/Connector.java
@@ -4,11 +4,14 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 
+import java.net.ConnectException;
+
 /**
  * Opens connections to HTTP servers by IP number.
  *
@@ -60,11 +63,17 @@
                                 user.onConnection(c);
                             } else {
                                 failed.run();
-                                user.onNone(BreakKind.UNREACHABLE, String.valueOf(f.cause()));
+                                user.onNone(kindOf(f.cause()), String.valueOf(f.cause()));
                             }
                         });
     }
 
+    private static BreakKind kindOf(Throwable cause) {
+        boolean refused =
+                cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+        return refused ? BreakKind.NOBODY_LISTENS : BreakKind.UNREACHABLE;
+    }
+
     private static HttpClientCodec codec() {
         HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
         return new HttpClientCodec(config, false, false);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -13,6 +13,7 @@
 import org.forkseam.core.util.Clock;
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.FleetSource;
+import org.forkseam.direct.spi.SharedRow;
 import org.forkseam.direct.spi.SharedRows;
 
 import java.net.InetSocketAddress;
@@ -45,7 +46,9 @@
     private final SourceWatch mWatch = new SourceWatch(this::onSourceBack);
     private final ConfigFollower mConfig;
     private final TargetFollower mTargets;
+    private final RowFollower mRows;
     private final Seats mSeats;
+    private final Quarantine mQuarantine;
     private final Learned mLearned;
     private long mEvacuationChanges;
     private boolean mAsking;
@@ -93,8 +96,10 @@
                 new FollowerBase.Surroundings(loop, clock, random, mLink, mWatch, this::isComplete);
         mTargets = new TargetFollower(around, sources.fleet(), listMillis);
         mConfig = new ConfigFollower(around, sources.fleet(), new OperatorListener());
-        mLearned = new Learned(clock, mTargets.targets());
-        mSeats = new Seats(around, sources.shared(), mTargets.targets());
+        mRows = new RowFollower(around, sources.shared(), this::onRow);
+        mSeats = new Seats(around, sources.shared(), mRows, mTargets.targets());
+        mQuarantine = new Quarantine(around, sources.shared(), mRows);
+        mLearned = new Learned(clock, mTargets.targets(), mQuarantine);
     }
 
     /**
@@ -124,7 +129,8 @@
     public CompletableFuture<Void> start() {
         mLoop.execute(mConfig::start);
         mLoop.execute(mTargets::start);
-        mLoop.execute(mSeats::start);
+        mLoop.execute(mRows::start);
+        mLoop.execute(mQuarantine::start);
         every(mSeats.planMillis(), () -> mSeats.plan(config()));
         every(LoadExchange.PERIOD_MILLIS, this::tellLearned);
         return mLink.listen();
@@ -142,6 +148,8 @@
                     mConfig.stop();
                     mTargets.stop();
                     mSeats.stop();
+                    mQuarantine.stop();
+                    mRows.stop();
                     mLink.close();
                 });
         return CompletableFuture.completedFuture(null);
@@ -160,6 +168,8 @@
         m.put("targets", targets().all().size());
         m.put("routers", mLink.routers());
         m.put("seats", mSeats.dump());
+        m.put("quarantine", mQuarantine.dump());
+        m.put("crash_suspects", mQuarantine.suspects());
         m.put("messages_sent", mLink.sent());
         m.put("store_calls", mCalls.get());
         m.put("source_down", mWatch.isDown());
@@ -198,6 +208,11 @@
         return mSeats;
     }
 
+    /** Returns which requests are kept from targets. */
+    public Quarantine quarantine() {
+        return mQuarantine;
+    }
+
     /** Returns which targets have answered which keys. */
     public HolderMemory holders() {
         return mLearned.holders();
@@ -210,9 +225,7 @@
 
     /** Returns this router's share of what a target takes, or empty while routers are unknown. */
     public Optional<ColdShare> shareFor(long targetHash) {
-        return mSeats.follower().knowsRouters()
-                ? Optional.of(mLink.shareFor(targetHash))
-                : Optional.empty();
+        return mRows.knowsRouters() ? Optional.of(mLink.shareFor(targetHash)) : Optional.empty();
     }
 
     /** Returns the number of routers known, at least this one. */
@@ -254,12 +267,17 @@
         if (m instanceof PeerMessage.Targets t) {
             mTargets.onNews(t.news());
         } else if (m instanceof PeerMessage.Rows r) {
-            mSeats.follower().onMessage(r, sender);
+            mRows.onMessage(r, sender);
         } else if (m instanceof PeerNotice n) {
             mTargets.onNotice(n);
         }
     }
 
+    private void onRow(SharedRow row) {
+        mSeats.take(row);
+        mQuarantine.take(row);
+    }
+
     /** Takes in what the follower of the operators learns. */
     private final class OperatorListener implements ConfigFollower.Listener {
         @Override
@@ -298,7 +316,7 @@
         mConfig.offer(s.config(), "peer");
         mConfig.offerEvacuations(s.evacuations().revision(), s.evacuations().domains(), "peer");
         mTargets.onSnapshot(s.listRevision(), s.targets());
-        mSeats.follower().onSnapshot(s.rows());
+        mRows.onSnapshot(s.rows());
     }
 
     /** Returns what this router knows, for another; empty while it knows too little to serve. */
@@ -312,7 +330,7 @@
                                 config(),
                                 targets().revision(),
                                 entries,
-                                mSeats.follower().known(),
+                                mRows.known(),
                                 mConfig.evacuations())
                         .write());
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Learned.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Learned.java
@@ -1,9 +1,10 @@
 package org.forkseam.direct.know;
 
+import org.forkseam.core.crash.CrashFact;
 import org.forkseam.core.member.Target;
 import org.forkseam.core.member.TargetDirectory;
 import org.forkseam.core.route.HolderMemory;
-import org.forkseam.core.share.HolderExchange;
+import org.forkseam.core.share.FactExchange;
 import org.forkseam.core.share.HolderFact;
 import org.forkseam.core.share.LoadExchange;
 import org.forkseam.core.share.LoadReading;
@@ -14,17 +15,20 @@
 
 /**
  * Holds what routers have learned from targets' answers, this one's own and others': their load,
- * and which have read a prompt. Used on the event loop.
+ * which have read a prompt, and which ended under a request. Used on the event loop.
  */
 final class Learned {
     private final Clock mClock;
     private final TargetDirectory mTargets;
     private final HolderMemory mHolders = HolderMemory.create();
-    private final HolderExchange mHolderNews = HolderExchange.create();
+    private final FactExchange<HolderFact> mHolderNews =
+            FactExchange.of(HolderFact.MAX_FACTS, f -> 0);
+    private final Quarantine mQuarantine;
 
-    Learned(Clock clock, TargetDirectory targets) {
+    Learned(Clock clock, TargetDirectory targets, Quarantine quarantine) {
         mClock = clock;
         mTargets = targets;
+        mQuarantine = quarantine;
     }
 
     HolderMemory holders() {
@@ -47,9 +51,10 @@
     Optional<PeerMessage> news() {
         List<LoadReading> loads = LoadExchange.digest(mTargets.all(), mClock.nowMillis());
         List<HolderFact> holders = mHolderNews.digest();
-        return loads.isEmpty() && holders.isEmpty()
+        List<CrashFact> crashes = mQuarantine.news();
+        return loads.isEmpty() && holders.isEmpty() && crashes.isEmpty()
                 ? Optional.empty()
-                : Optional.of(new PeerMessage.Learned(loads, holders));
+                : Optional.of(new PeerMessage.Learned(loads, holders, crashes));
     }
 
     /** Takes in what another router has learned. */
@@ -58,6 +63,7 @@
         for (HolderFact f : l.holders()) {
             mTargets.findByShortHash(f.target()).ifPresent(t -> takeHolder(f, t));
         }
+        mQuarantine.take(l.crashes());
     }
 
     private void takeHolder(HolderFact f, Target t) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 
+import org.forkseam.core.crash.CrashFact;
 import org.forkseam.core.member.TargetEntry;
 import org.forkseam.core.share.HolderFact;
 import org.forkseam.core.share.LoadReading;
@@ -25,7 +26,7 @@
     static final int MAX_BYTES = 1_400;
 
     /** First byte of a datagram; another stands for another format. */
-    private static final int FORMAT = 1;
+    static final int FORMAT = 2;
 
     // The numbers below these are the kinds of PeerNotice.
     private static final int TARGETS = 16;
@@ -113,6 +114,7 @@
             Texts.write(b, e.address());
             Texts.write(b, e.domain());
             b.writeInt(e.slots()).writeBoolean(e.leaving()).writeLong(e.coldMillis());
+            b.writeLong(e.born());
         }
         Texts.writeAll(b, n.removed());
         return b;
@@ -133,6 +135,7 @@
                             Texts.read(b),
                             b.readInt(),
                             b.readBoolean(),
+                            b.readLong(),
                             b.readLong()));
         }
         return new PeerMessage.Targets(
@@ -177,6 +180,10 @@
         for (HolderFact f : l.holders()) {
             b.writeLong(f.key()).writeInt(f.target());
         }
+        b.writeShort(l.crashes().size());
+        for (CrashFact f : l.crashes()) {
+            b.writeLong(f.content()).writeInt(f.crash());
+        }
         return b;
     }
 
@@ -189,6 +196,10 @@
         for (int i = b.readUnsignedShort(); i > 0; i--) {
             holders.add(new HolderFact(b.readLong(), b.readInt()));
         }
-        return new PeerMessage.Learned(loads, holders);
+        List<CrashFact> crashes = new ArrayList<>();
+        for (int i = b.readUnsignedShort(); i > 0; i--) {
+            crashes.add(new CrashFact(b.readLong(), b.readInt()));
+        }
+        return new PeerMessage.Learned(loads, holders, crashes);
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
@@ -1,5 +1,6 @@
 package org.forkseam.direct.know;
 
+import org.forkseam.core.crash.CrashFact;
 import org.forkseam.core.member.Evacuations;
 import org.forkseam.core.share.HolderFact;
 import org.forkseam.core.share.LoadReading;
@@ -73,6 +74,8 @@
      *
      * @param loads what targets told of their load, the newest readings
      * @param holders which have read a prompt that their seats do not tell of
+     * @param crashes which have ended, and what they had
      */
-    record Learned(List<LoadReading> loads, List<HolderFact> holders) implements PeerMessage {}
+    record Learned(List<LoadReading> loads, List<HolderFact> holders, List<CrashFact> crashes)
+            implements PeerMessage {}
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerNotice.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerNotice.java
@@ -15,9 +15,6 @@
  * @param fingerprint a hash of what was read
  */
 record PeerNotice(Kind kind, long readAt, long fingerprint) implements PeerMessage {
-    /** First byte of a datagram; another stands for another format. */
-    private static final int FORMAT = 1;
-
     private static final int BYTES = 2 + 2 * Long.BYTES;
 
     /** Says what was read. */
@@ -38,7 +35,7 @@
 
     ByteBuf write() {
         return Unpooled.buffer(BYTES)
-                .writeByte(FORMAT)
+                .writeByte(PeerCodec.FORMAT)
                 .writeByte(kind.mCode)
                 .writeLong(readAt)
                 .writeLong(fingerprint);
@@ -46,7 +43,7 @@
 
     /** Reads a datagram; empty if it is not of this format. */
     static Optional<PeerNotice> read(ByteBuf b) {
-        if (b.readableBytes() != BYTES || b.readByte() != FORMAT) {
+        if (b.readableBytes() != BYTES || b.readByte() != PeerCodec.FORMAT) {
             return Optional.empty();
         }
         return Kind.of(b.readByte()).map(k -> new PeerNotice(k, b.readLong(), b.readLong()));
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 /**
@@ -43,12 +44,13 @@
     private long mRevision;
     private boolean mRead;
     private int mFailures;
+    private OptionalLong mStoreAhead = OptionalLong.empty();
     private boolean mCatchingUp;
 
     /**
      * Creates a follower that knows nothing yet.
      *
-     * @param listener is told of each row that changed, but for those of routers
+     * @param listener is told of each row that changed or vanished, but for those of routers
      */
     RowFollower(Surroundings around, SharedRows rows, Consumer<SharedRow> listener) {
         super(around);
@@ -71,6 +73,20 @@
         return mRole.isReader(now());
     }
 
+    /**
+     * Returns the time by the store's steady clock, which all routers share; empty before the first
+     * read. News that come late, and a host that was suspended, make it too early, never too late.
+     */
+    OptionalLong storeMillis() {
+        return mStoreAhead.isPresent()
+                ? OptionalLong.of(now() + mStoreAhead.getAsLong())
+                : OptionalLong.empty();
+    }
+
+    private void noteStoreClock(long readAt) {
+        mStoreAhead = OptionalLong.of(Math.max(mStoreAhead.orElse(Long.MIN_VALUE), readAt - now()));
+    }
+
     /** Returns all rows known. */
     List<SharedRow> known() {
         return List.copyOf(mKnown.values());
@@ -120,6 +136,7 @@
         }
         mFailures = 0;
         boolean first = !mRead;
+        noteStoreClock(read.readAt());
         mRead = true;
         mRevision = Math.max(mRevision, read.revision());
         read.value().forEach(this::take);
@@ -149,6 +166,7 @@
             return;
         }
         mFailures = 0;
+        noteStoreClock(read.readAt());
         mRevision = Math.max(mRevision, read.revision());
         read.value().forEach(this::take);
         tell(new PeerMessage.Rows(read.readAt(), since, read.revision(), true, read.value()));
@@ -176,12 +194,18 @@
         }
     }
 
+    /** Takes a row in that this router has read. */
+    void onRead(SharedRow row) {
+        take(row);
+    }
+
     /** Takes in what another router tells of the rows. */
     void onMessage(PeerMessage.Rows m, InetSocketAddress sender) {
         if (m.until() == 0) {
             m.rows().forEach(this::take); // one that its writer tells of
             return;
         }
+        noteStoreClock(m.readAt());
         if (link().goesBefore(sender)) {
             mRole.onHeard(now());
         }
@@ -239,7 +263,7 @@
         }
         if (row.key().startsWith(ROUTER)) {
             takeRouter(row);
-        } else if (!absent) {
+        } else {
             mListener.accept(row);
         }
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
@@ -70,13 +70,17 @@
     private boolean mProposing;
     private boolean mStopped;
 
-    Seats(FollowerBase.Surroundings around, SharedRows rows, TargetDirectory targets) {
+    Seats(
+            FollowerBase.Surroundings around,
+            SharedRows rows,
+            RowFollower follower,
+            TargetDirectory targets) {
         mLoop = around.loop();
         mClock = around.clock();
         mRows = rows;
         mRandom = around.random();
         mTargets = targets;
-        mFollower = new RowFollower(around, rows, this::take);
+        mFollower = follower;
         mStarted = mClock.nowMillis();
     }
 
@@ -149,22 +153,13 @@
 
     // ---------------------------------------------------------------- following
 
-    void start() {
-        mFollower.start();
-    }
-
     void stop() {
         mStopped = true;
-        mFollower.stop();
-    }
-
-    /** Returns what follows the rows. */
-    RowFollower follower() {
-        return mFollower;
     }
 
-    private void take(SharedRow row) {
-        if (!row.key().startsWith(SEATS)) {
+    /** Takes in a row that changed, if it is one of seats; one that vanished changes nothing. */
+    void take(SharedRow row) {
+        if (!row.key().startsWith(SEATS) || row.revision() == 0) {
             return;
         }
         String pool = row.key().substring(SEATS.length());
--- a/forkseam-direct/src/test/java/org/forkseam/direct/io/HttpConnectionTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/io/HttpConnectionTest.java
@@ -166,7 +166,7 @@
         try (ScriptedServer s = ScriptedServer.of((r, w) -> false)) {
             address = s.address();
         }
-        assertThat(exchange(pool(address))).startsWith("UNREACHABLE");
+        assertThat(exchange(pool(address))).startsWith("NOBODY_LISTENS");
     }
 
     @Test
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
@@ -9,8 +9,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 
+import org.forkseam.core.crash.CrashFact;
 import org.forkseam.core.member.TargetEntry;
-import org.forkseam.core.share.HolderExchange;
 import org.forkseam.core.share.HolderFact;
 import org.forkseam.core.share.LoadExchange;
 import org.forkseam.core.share.LoadReading;
@@ -47,7 +47,8 @@
     private static final PeerMessage LEARNED =
             new PeerMessage.Learned(
                     List.of(new LoadReading(-5, 17, 999), new LoadReading(3, 0, 0)),
-                    List.of(new HolderFact(Long.MAX_VALUE, -7)));
+                    List.of(new HolderFact(Long.MAX_VALUE, -7)),
+                    List.of(new CrashFact(-9, 11), CrashFact.answered(12)));
 
     private static final PeerMessage CONFIG =
             new PeerMessage.Config(
@@ -110,7 +111,7 @@
     @Property(tries = 500)
     void anyBytesAreReadWithoutAFailure(
             @ForAll byte[] bytes, @ForAll @IntRange(min = 15, max = 19) int kind) {
-        ByteBuf b = Unpooled.buffer().writeByte(1).writeByte(kind).writeBytes(bytes);
+        ByteBuf b = Unpooled.buffer().writeByte(PeerCodec.FORMAT).writeByte(kind).writeBytes(bytes);
         PeerCodec.read(b);
         assertThat(b.refCnt()).isEqualTo(1);
     }
@@ -125,7 +126,7 @@
         assertThat(PeerCodec.write(new PeerMessage.Targets(news)).isPresent()).isFalse();
     }
 
-    /** Eight such messages a second are some 4 KB a second without facts, 8 KB with most. */
+    /** Eight such messages a second are some 4 KB a second without facts, 11 KB with most. */
     @Test
     void whatWasLearnedCostsAsReckoned() {
         List<LoadReading> loads = new ArrayList<>();
@@ -133,14 +134,20 @@
             loads.add(new LoadReading(i, 12, 500));
         }
         List<HolderFact> facts = new ArrayList<>();
-        for (int i = 0; i < HolderExchange.MAX_FACTS; i++) {
+        for (int i = 0; i < HolderFact.MAX_FACTS; i++) {
             facts.add(new HolderFact(i, i));
         }
-        assertThat(bytes(loads, List.of())).isEqualTo(486);
-        assertThat(bytes(loads, facts)).isEqualTo(966);
+        List<CrashFact> crashes = new ArrayList<>();
+        for (int i = 0; i < CrashFact.MAX_FACTS; i++) {
+            crashes.add(new CrashFact(i, i));
+        }
+        assertThat(bytes(loads, List.of(), List.of())).isEqualTo(488);
+        assertThat(bytes(loads, facts, List.of())).isEqualTo(968);
+        assertThat(bytes(loads, facts, crashes)).isEqualTo(1_328);
     }
 
-    private static int bytes(List<LoadReading> loads, List<HolderFact> facts) {
-        return written(new PeerMessage.Learned(loads, facts)).readableBytes();
+    private static int bytes(
+            List<LoadReading> loads, List<HolderFact> facts, List<CrashFact> crashes) {
+        return written(new PeerMessage.Learned(loads, facts, crashes)).readableBytes();
     }
 }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
@@ -47,7 +47,7 @@
         byte[] b = new byte[18];
         b[0] = 9;
         assertThat(PeerNotice.read(Unpooled.wrappedBuffer(b)).isPresent()).isFalse();
-        b[0] = 1;
+        b[0] = PeerCodec.FORMAT;
         b[1] = 7;
         assertThat(PeerNotice.read(Unpooled.wrappedBuffer(b)).isPresent()).isFalse();
     }
--- /dev/null
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/QuarantineTest.java
@@ -0,0 +1,389 @@
+package org.forkseam.direct.know;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+import org.forkseam.core.crash.CrashFact;
+import org.forkseam.core.crash.QuarantineTerm;
+import org.forkseam.core.util.Hashes;
+import org.forkseam.direct.know.Quarantine.Verdict;
+import org.forkseam.direct.spi.SharedRow;
+import org.forkseam.direct.spi.SharedRows;
+import org.forkseam.direct.spi.SourceException;
+import org.forkseam.direct.spi.Versioned;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Tests which requests routers refuse, over their whole lives, with the rows of a small store. */
+class QuarantineTest {
+    private static final long AWAIT_MILLIS = 5_000;
+    private static final long CONTENT = 0x1234;
+    private static final String KEY = "quarantine/" + Hashes.text(CONTENT);
+    private static final long TEN_MINUTES = 600_000;
+    private static final int MAX_ROWS = 256;
+
+    /** The store's clock and a router's have nothing in common. */
+    private static final long STORE_AHEAD = 7_000_000;
+
+    /** Is a store that several routers share. */
+    private static final class Rows implements SharedRows {
+        private final Map<String, SharedRow> mAll = new ConcurrentSkipListMap<>();
+        private final AtomicLong mRevision = new AtomicLong(1);
+        private volatile boolean mAway;
+        private volatile int mWrites;
+
+        private <T> CompletableFuture<T> reply(Callable<T> call) {
+            if (mAway) {
+                return CompletableFuture.failedFuture(SourceException.of("away"));
+            }
+            try {
+                return CompletableFuture.completedFuture(call.call());
+            } catch (Exception e) {
+                return CompletableFuture.failedFuture(e);
+            }
+        }
+
+        @Override
+        public CompletableFuture<Versioned<List<SharedRow>>> readAll() {
+            return reply(() -> new Versioned<>(mRevision.get(), 0, List.copyOf(mAll.values())));
+        }
+
+        @Override
+        public CompletableFuture<Versioned<List<SharedRow>>> awaitChanges(long rev, long wait) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<SharedRow> compareAndSet(String key, String value, long rev) {
+            mWrites++;
+            return reply(
+                    () -> {
+                        SharedRow now = mAll.getOrDefault(key, new SharedRow(key, "", 0));
+                        if (now.revision() != rev) {
+                            return now;
+                        }
+                        SharedRow next = new SharedRow(key, value, mRevision.incrementAndGet());
+                        mAll.put(key, next);
+                        return next;
+                    });
+        }
+
+        @Override
+        public CompletableFuture<Void> put(String key, String value) {
+            return reply(() -> null);
+        }
+
+        @Override
+        public CompletableFuture<Void> remove(String key) {
+            return reply(
+                    () -> {
+                        mAll.remove(key);
+                        return null;
+                    });
+        }
+
+        long refused() {
+            return mAll.keySet().stream().filter(k -> k.startsWith("quarantine/")).count();
+        }
+    }
+
+    /** Is one router's part; its clock stands still until it is moved. */
+    private final class Router {
+        private final AtomicLong mClock = new AtomicLong();
+        private final RowFollower mFollower;
+        private final Quarantine mQuarantine;
+
+        Router() {
+            String host = "host-" + ++mHosts;
+            SplittableRandom random = new SplittableRandom(1);
+            InetSocketAddress own = new InetSocketAddress("127.0.0.1", 5_000);
+            PeerLink link =
+                    new PeerLink(mLoop, new Knowledge.Self(host, own), random, (m, s) -> {});
+            FollowerBase.Surroundings around =
+                    new FollowerBase.Surroundings(
+                            mLoop,
+                            mClock::get,
+                            random,
+                            link,
+                            new SourceWatch(() -> {}),
+                            () -> true);
+            List<Quarantine> listener = new ArrayList<>();
+            mFollower = new RowFollower(around, mRows, r -> listener.get(0).take(r));
+            mQuarantine = new Quarantine(around, mRows, mFollower);
+            listener.add(mQuarantine);
+        }
+
+        /** Takes what another router tells of the rows, at a time of the store's clock. */
+        void hear(long storeMillis) {
+            List<SharedRow> rows = List.copyOf(mRows.mAll.values());
+            mFollower.onMessage(new PeerMessage.Rows(storeMillis, 0, 1, true, List.of()), OTHER);
+            mFollower.onMessage(new PeerMessage.Rows(0, 0, 0, true, rows), OTHER);
+        }
+
+        void crash(long content, int crash) throws Exception {
+            onLoop(() -> mQuarantine.onCrash(content, crash));
+        }
+
+        void convict(long content) throws Exception {
+            for (int i = 1; i <= 3; i++) {
+                crash(content, i);
+            }
+            settle();
+        }
+
+        Verdict verdict(long content) throws Exception {
+            return call(() -> mQuarantine.verdict(content));
+        }
+
+        boolean ask(long content) throws Exception {
+            return call(() -> mQuarantine.askToTry(content).join());
+        }
+
+        QuarantineTerm row() {
+            return QuarantineTerm.read(mRows.mAll.get(KEY).value()).get();
+        }
+    }
+
+    private static final InetSocketAddress OTHER = new InetSocketAddress("127.0.0.1", 6_000);
+
+    private final MultiThreadIoEventLoopGroup mGroup =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop mLoop = (EventLoop) mGroup.next();
+    private final Rows mRows = new Rows();
+    private Router mRouter;
+    private int mHosts;
+
+    @BeforeEach
+    void start() throws Exception {
+        mRouter = router();
+    }
+
+    @AfterEach
+    void stop() {
+        mGroup.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private Router router() throws Exception {
+        Router r = new Router();
+        onLoop(() -> r.hear(STORE_AHEAD + r.mClock.get()));
+        return r;
+    }
+
+    private void onLoop(Runnable task) throws Exception {
+        mLoop.submit(task).get(AWAIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private <T> T call(Callable<T> task) throws Exception {
+        return mLoop.submit(task).get(AWAIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Lets what was planned for this turn of the loop and the next be done. */
+    private void settle() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            mLoop.schedule(() -> {}, 1, TimeUnit.MILLISECONDS)
+                    .get(AWAIT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void await(Callable<Boolean> condition) throws Exception {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(AWAIT_MILLIS);
+        while (!call(condition)) {
+            assertThat(System.nanoTime()).isLessThan(until);
+            settle();
+        }
+    }
+
+    // ---------------------------------------------------------------- convicting
+
+    @Test
+    void threeEndsOfTargetsRefuseARequestOnAllRouters() throws Exception {
+        Router other = router();
+        mRouter.crash(CONTENT, 1);
+        mRouter.crash(CONTENT, 2);
+        assertThat(mRouter.verdict(CONTENT)).isEqualTo(Verdict.SERVE);
+        mRouter.crash(CONTENT, 3);
+        assertThat(mRouter.verdict(CONTENT)).isEqualTo(Verdict.REFUSE);
+        settle();
+        assertThat(mRows.refused()).isEqualTo(1);
+        onLoop(() -> other.hear(STORE_AHEAD));
+        assertThat(other.verdict(CONTENT)).isEqualTo(Verdict.REFUSE);
+        assertThat(call(() -> other.mQuarantine.backInMillis(CONTENT))).isEqualTo(TEN_MINUTES);
+    }
+
+    /** Each router saw one end; whoever hears of all three refuses and writes. */
+    @Test
+    void endsThatOthersSawCountAsOwnOnes() throws Exception {
+        mRouter.crash(CONTENT, 1);
+        onLoop(
+                () ->
+                        mRouter.mQuarantine.take(
+                                List.of(new CrashFact(CONTENT, 2), new CrashFact(CONTENT, 3))));
+        settle();
+        assertThat(mRouter.verdict(CONTENT)).isEqualTo(Verdict.REFUSE);
+        assertThat(mRows.refused()).isEqualTo(1);
+    }
+
+    /** Two routers that convict at once leave one row, and neither writes again and again. */
+    @Test
+    void routersThatConvictAtOnceAgree() throws Exception {
+        Router other = router();
+        mRouter.convict(CONTENT);
+        other.convict(CONTENT);
+        settle();
+        assertThat(mRows.refused()).isEqualTo(1);
+        assertThat(mRows.mWrites).isAtMost(2);
+        assertThat(other.verdict(CONTENT)).isEqualTo(Verdict.REFUSE);
+    }
+
+    @Test
+    void whileTheStoreIsAwayItIsRefusedAndWrittenLater() throws Exception {
+        mRows.mAway = true;
+        mRouter.convict(CONTENT);
+        assertThat(mRouter.verdict(CONTENT)).isEqualTo(Verdict.REFUSE);
+        mRows.mAway = false;
+        await(() -> mRows.refused() == 1);
+    }
+
+    @Test
+    void whatWasOnlyBesideTwoEndsIsServedAndToldToBeHarmless() throws Exception {
+        mRouter.crash(CONTENT, 1);
+        mRouter.crash(CONTENT, 2);
+        onLoop(() -> mRouter.mQuarantine.onAnswered(CONTENT));
+        assertThat(call(() -> mRouter.mQuarantine.news()))
+                .containsExactly(CrashFact.answered(CONTENT));
+        mRouter.crash(CONTENT, 3);
+        assertThat(mRouter.verdict(CONTENT)).isEqualTo(Verdict.SERVE);
+    }
+
+    /** Each refused request has ended three targets; of a thousand the last ones are kept. */
+    @Test
+    void aFloodOfDifferentOnesIsBounded() throws Exception {
+        for (int i = 1; i <= 1_000; i++) {
+            mRouter.convict(i);
+        }
+        assertThat(mRows.refused()).isAtMost(MAX_ROWS);
+        assertThat(mRouter.verdict(1_000)).isEqualTo(Verdict.REFUSE);
+        assertThat(call(() -> mRouter.mQuarantine.dump().size())).isAtMost(2 * MAX_ROWS);
+    }
+
+    // ---------------------------------------------------------------- terms and trials
+
+    private void passTerm(Router r, long millis) {
+        r.mClock.addAndGet(millis);
+    }
+
+    @Test
+    void afterItsTermOneRouterMayTryItOnce() throws Exception {
+        Router other = router();
+        mRouter.convict(CONTENT);
+        onLoop(() -> other.hear(STORE_AHEAD));
+        passTerm(mRouter, TEN_MINUTES);
+        passTerm(other, TEN_MINUTES);
+        assertThat(mRouter.verdict(CONTENT)).isEqualTo(Verdict.TRY);
+        assertThat(mRouter.ask(CONTENT)).isTrue();
+        assertThat(other.ask(CONTENT)).isFalse();
+        assertThat(other.verdict(CONTENT)).isEqualTo(Verdict.REFUSE);
+        assertThat(mRouter.verdict(CONTENT)).isEqualTo(Verdict.REFUSE);
+    }
+
+    @Test
+    void aTrialThatEndsATargetDoublesTheTerm() throws Exception {
+        mRouter.convict(CONTENT);
+        passTerm(mRouter, TEN_MINUTES);
+        mRouter.ask(CONTENT);
+        onLoop(() -> mRouter.mQuarantine.onTrialEnded(CONTENT, false));
+        assertThat(mRouter.row().termMillis()).isEqualTo(2 * TEN_MINUTES);
+        assertThat(mRouter.verdict(CONTENT)).isEqualTo(Verdict.REFUSE);
+    }
+
+    @Test
+    void aTrialThatIsAnsweredReleasesTheRequest() throws Exception {
+        mRouter.convict(CONTENT);
+        passTerm(mRouter, TEN_MINUTES);
+        mRouter.ask(CONTENT);
+        onLoop(() -> mRouter.mQuarantine.onTrialEnded(CONTENT, true));
+        assertThat(mRouter.verdict(CONTENT)).isEqualTo(Verdict.SERVE);
+        mRouter.convict(CONTENT);
+        assertThat(mRouter.verdict(CONTENT)).isEqualTo(Verdict.REFUSE);
+    }
+
+    /** Nobody is allowed to try by a clock that nobody can agree on. */
+    @Test
+    void whileTheStoreIsAwayNobodyTries() throws Exception {
+        mRouter.convict(CONTENT);
+        passTerm(mRouter, TEN_MINUTES);
+        mRows.mAway = true;
+        assertThat(mRouter.ask(CONTENT)).isFalse();
+    }
+
+    /** A host's steady clock may not count the time in which it was suspended. */
+    @Test
+    void aSuspendedRouterTakesTermsForTooLongNeverTooShort() throws Exception {
+        Router suspended = router();
+        mRouter.convict(CONTENT);
+        onLoop(() -> suspended.hear(STORE_AHEAD));
+        passTerm(mRouter, TEN_MINUTES);
+        assertThat(suspended.verdict(CONTENT)).isEqualTo(Verdict.REFUSE);
+        onLoop(() -> suspended.hear(STORE_AHEAD + TEN_MINUTES));
+        assertThat(suspended.verdict(CONTENT)).isEqualTo(Verdict.TRY);
+        onLoop(() -> suspended.hear(STORE_AHEAD)); // late news turns nothing back
+        assertThat(suspended.verdict(CONTENT)).isEqualTo(Verdict.TRY);
+    }
+
+    // ---------------------------------------------------------------- rows
+
+    /** A router that has just started reads the rows before it knows anything else of them. */
+    @Test
+    void aRouterThatHasJustStartedKnowsWhatIsRefused() throws Exception {
+        mRouter.convict(CONTENT);
+        Router started = new Router();
+        onLoop(started.mFollower::start);
+        assertThat(started.verdict(CONTENT)).isEqualTo(Verdict.REFUSE);
+    }
+
+    /** One that started while the store is away gets the rows from another router. */
+    @Test
+    void rowsOfAnotherRouterRefuseWithoutTheStoresClock() throws Exception {
+        mRouter.convict(CONTENT);
+        Router started = new Router();
+        onLoop(() -> started.mFollower.onSnapshot(List.copyOf(mRows.mAll.values())));
+        assertThat(started.verdict(CONTENT)).isEqualTo(Verdict.REFUSE);
+    }
+
+    @Test
+    void anOperatorWhoRemovesTheRowReleasesTheRequest() throws Exception {
+        mRouter.convict(CONTENT);
+        onLoop(() -> mRouter.mFollower.onRead(new SharedRow(KEY, "", 0)));
+        assertThat(mRouter.verdict(CONTENT)).isEqualTo(Verdict.SERVE);
+    }
+
+    @Test
+    void rowsThatNoRouterWritesChangeNothing() throws Exception {
+        Map<String, String> rows = new TreeMap<>();
+        rows.put("quarantine/", "1,2,");
+        rows.put("quarantine/xyz", "1,2,");
+        rows.put("quarantine/00112233445566778899", "1,2,");
+        rows.put(KEY, "soon");
+        for (Map.Entry<String, String> e : rows.entrySet()) {
+            onLoop(() -> mRouter.mFollower.onRead(new SharedRow(e.getKey(), e.getValue(), 99)));
+        }
+        assertThat(mRouter.verdict(CONTENT)).isEqualTo(Verdict.SERVE);
+        assertThat(call(() -> mRouter.mQuarantine.dump())).isEmpty();
+    }
+}
