Warn routers that are cut off or start later of requests beside two ends; look before the decisive repeat

Cause: by reading the mend for a fleet that is cut up: each router that no message reaches would count for itself (five cut off: ten targets), counts of two were lost with their routers, and a router repeated at a fourth target before its look at the third was over. A look was refused where the broken connection still counted against a small limit. Ruled out: telling each end through the store (some 20 calls an end); only the second end of a content is written. Cut off: tested with rows only. Limit 0: tested.

--- a/forkseam-core/src/main/java/org/forkseam/core/crash/CrashSuspects.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/crash/CrashSuspects.java
@@ -3,6 +3,7 @@
 import org.forkseam.core.util.BoundedMap;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -82,6 +83,12 @@
         return crashes == null ? 0 : crashes.size();
     }
 
+    /** Returns the ends of targets that are known under a request. */
+    public List<CrashFact> of(long content) {
+        Set<Integer> crashes = mCrashes.getOrDefault(content, Set.of());
+        return crashes.stream().map(c -> new CrashFact(content, c)).toList();
+    }
+
     /** Returns whether as many targets have ended under a request as it takes to refuse it. */
     public boolean isConvicted(long content) {
         return crashes(content) >= CRASHES_TO_CONVICT;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CrashWatch.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CrashWatch.java
@@ -7,8 +7,10 @@
 import org.forkseam.direct.know.Quarantine;
 import org.forkseam.direct.log.Event;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -29,7 +31,7 @@
 
     private final Targets mTargets;
     private final Quarantine mQuarantine;
-    private final Map<String, Set<Long>> mBroken = new HashMap<>();
+    private final Map<String, Look> mLooks = new HashMap<>();
     private long mCrashes;
 
     CrashWatch(Targets targets, Quarantine quarantine) {
@@ -47,49 +49,72 @@
      *
      * @param content hash of what the request asks for
      * @param answeringMillis for how long the target had been answering it
+     * @param then is run once it is known whether the target has ended, if that may decide what
+     *     becomes of the request; else at once
      */
-    void onBroken(Target t, long content, long answeringMillis) {
+    void onBroken(Target t, long content, long answeringMillis, Runnable then) {
         if (answeringMillis > HARMLESS_AFTER_MILLIS) {
+            then.run();
             return;
         }
-        Set<Long> contents = mBroken.get(t.entry().id());
-        if (contents != null) {
-            contents.add(content); // it is being looked at
-            return;
+        Look look = mLooks.get(t.entry().id());
+        boolean isNew = look == null;
+        if (isNew) {
+            look = new Look(t);
+            mLooks.put(t.entry().id(), look);
+        }
+        look.mContents.add(content);
+        boolean decides = mQuarantine.isLastCrashAllowed(content);
+        if (decides) {
+            look.mThen.add(then);
+        }
+        if (isNew) {
+            mTargets.pool(t).replace(look);
+        }
+        if (!decides) {
+            then.run();
         }
-        contents = new HashSet<>();
-        contents.add(content);
-        mBroken.put(t.entry().id(), contents);
-        look(t, t.startHash());
     }
 
-    private void look(Target t, int crash) {
-        mTargets.pool(t)
-                .open(
-                        new ConnectionUser() {
-                            @Override
-                            public void onConnection(HttpConnection c) {
-                                mBroken.remove(t.entry().id());
-                                c.giveBack();
-                            }
+    /** Is a look at a target that has broken off requests. */
+    private final class Look implements ConnectionUser {
+        private final Target mTarget;
+        private final int mCrash;
+        private final Set<Long> mContents = new HashSet<>();
+        private final List<Runnable> mThen = new ArrayList<>();
 
-                            @Override
-                            public void onNone(BreakKind kind, String detail) {
-                                Set<Long> contents = mBroken.remove(t.entry().id());
-                                if (kind == BreakKind.NOBODY_LISTENS) {
-                                    onEnded(t, crash, contents);
-                                }
-                            }
-                        });
-    }
+        Look(Target t) {
+            mTarget = t;
+            mCrash = t.startHash();
+        }
 
-    private void onEnded(Target t, int crash, Set<Long> contents) {
-        mCrashes++;
-        Event.of("target_ended")
-                .with("target", t.entry().id())
-                .with("address", t.entry().address())
-                .with("requests", contents.size())
-                .log();
-        contents.forEach(c -> mQuarantine.onCrash(c, crash));
+        @Override
+        public void onConnection(HttpConnection c) {
+            c.giveBack();
+            finish();
+        }
+
+        @Override
+        public void onNone(BreakKind kind, String detail) {
+            if (kind == BreakKind.NOBODY_LISTENS) {
+                onEnded();
+            }
+            finish();
+        }
+
+        private void onEnded() {
+            mCrashes++;
+            Event.of("target_ended")
+                    .with("target", mTarget.entry().id())
+                    .with("address", mTarget.entry().address())
+                    .with("requests", mContents.size())
+                    .log();
+            mContents.forEach(c -> mQuarantine.onCrash(c, mCrash));
+        }
+
+        private void finish() {
+            mLooks.remove(mTarget.entry().id());
+            mThen.forEach(Runnable::run);
+        }
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -211,10 +211,18 @@
         mContext.counters().onAttempt(end.kind().name());
         end.teach(a.target(), mContext.errors(mPool), now);
         mQuarantine.onAttemptEnd(end.kind() == AttemptEnd.Kind.ANSWERED);
+        rememberLastId(a);
         if (end.kind() == AttemptEnd.Kind.BROKEN) {
-            mContext.crashes().onBroken(a.target(), mContent, a.answeringMillis(now));
+            mTally.onFailed(true); // also if the deadline passes during the look at the target
+            mContext.crashes()
+                    .onBroken(a.target(), mContent, a.answeringMillis(now), () -> goOn(a, end));
+            return;
         }
-        rememberLastId(a);
+        goOn(a, end);
+    }
+
+    /** Decides what follows an attempt that has ended. */
+    private void goOn(Attempt a, AttemptEnd end) {
         if (mDone) {
             return;
         }
@@ -224,7 +232,7 @@
         }
         mRecord.onAttemptEnd(a, end, mTally.sent());
         mTally.onFailed(end.kind().mayHaveRun());
-        if (mayTryAgain(end, now)) {
+        if (mayTryAgain(end, mContext.now())) {
             attempt();
             return;
         }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/ConnectionPool.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/ConnectionPool.java
@@ -57,15 +57,18 @@
             }
             c.close();
         }
-        open(user);
-    }
-
-    /** Brings a connection that is opened anew, whatever idle ones there are. */
-    public void open(ConnectionUser user) {
         if (mOpen >= mLimit) {
             user.onNone(BreakKind.NO_CONNECTION_FREE, mOpen + " connections open");
             return;
         }
+        replace(user);
+    }
+
+    /**
+     * Brings a connection that is opened anew in the place of one that has just broken, which may
+     * still count as open: whatever idle ones and whatever limit there are.
+     */
+    public void replace(ConnectionUser user) {
         mOpen++;
         HttpConnection c = new HttpConnection(this);
         mConnector.connect(mAddress, c, user, this::onFailed);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Quarantine.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Quarantine.java
@@ -62,6 +62,7 @@
     private final CrashSuspects mSuspects = CrashSuspects.create();
     private final FactExchange<CrashFact> mNews =
             FactExchange.of(CrashFact.MAX_FACTS, f -> crashesOf(f.content()));
+    private final CrashWarnings mWarnings;
     private final Map<Long, Row> mKnown = BoundedMap.byInsertion(MAX_KNOWN);
     private final Set<Long> mWriting = new HashSet<>();
     private int mWriteFailures;
@@ -84,6 +85,7 @@
         super(around);
         mRows = rows;
         mFollower = follower;
+        mWarnings = new CrashWarnings(rows, follower::storeMillis);
     }
 
     void start() {
@@ -162,6 +164,11 @@
         }
     }
 
+    /** Returns whether a request is refused once one more target ends under it. */
+    public boolean isLastCrashAllowed(long content) {
+        return mSuspects.crashes(content) == CrashSuspects.CRASHES_TO_CONVICT - 1;
+    }
+
     /** Returns how many targets are known to have ended under a request. */
     public int crashesOf(long content) {
         return mKnown.containsKey(content)
@@ -205,6 +212,9 @@
 
     private void onSuspected(long content, boolean sawIt) {
         if (!mSuspects.isConvicted(content)) {
+            if (sawIt && isLastCrashAllowed(content)) {
+                mWarnings.write(content, mSuspects.of(content));
+            }
             return;
         }
         Event.always("request_convicted")
@@ -230,6 +240,7 @@
 
     /** Takes in a row that changed, if it is one of a refused request. */
     void take(SharedRow row) {
+        mWarnings.take(row).forEach(this::takeWarning);
         if (!row.key().startsWith(ROW)) {
             return;
         }
@@ -253,6 +264,13 @@
                 .log();
     }
 
+    /** Takes in what a row tells of; all read the row, so that it is not passed on. */
+    private void takeWarning(CrashFact f) {
+        if (!isRefusedByRow(f.content()) && mSuspects.take(f, now())) {
+            onSuspected(f.content(), false);
+        }
+    }
+
     private static Optional<Long> content(String key) {
         try {
             return Optional.of(Long.parseUnsignedLong(key.substring(ROW.length()), 16));
@@ -336,6 +354,7 @@
         if (!mFollower.isReader()) {
             return;
         }
+        mWarnings.sweep();
         long now = storeMillis().orElse(0);
         for (Map.Entry<Long, Row> e : List.copyOf(mKnown.entrySet())) {
             if (e.getValue().term().isOver(now)) {
--- a/forkseam-direct/src/test/java/org/forkseam/direct/io/HttpConnectionTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/io/HttpConnectionTest.java
@@ -160,6 +160,28 @@
         }
     }
 
+    /**
+     * A connection that breaks is still counted while its user hears of it: at a small limit nobody
+     * could find out whether the target has ended.
+     */
+    @Test
+    void aBrokenConnectionIsReplacedAtTheLimit() throws Exception {
+        try (ScriptedServer s =
+                ScriptedServer.of(
+                        (r, w) -> {
+                            w.awaitClose(10_000);
+                            return false;
+                        })) {
+            ConnectionPool pool = pool(s.address());
+            pool.setLimit(0);
+            assertThat(exchange(pool)).startsWith("NO_CONNECTION_FREE");
+            Recorder r = new Recorder();
+            LOOP.execute(() -> pool.replace(r));
+            s.close();
+            assertThat(r.mEnd.get(WAIT_SECONDS, TimeUnit.SECONDS)).doesNotContain("NO_CONNECTION");
+        }
+    }
+
     @Test
     void nobodyListens() throws Exception {
         String address;
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/QuarantineTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/QuarantineTest.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 
 /** Tests which requests routers refuse, over their whole lives, with the rows of a small store. */
 class QuarantineTest {
@@ -47,6 +48,7 @@
         private final AtomicLong mRevision = new AtomicLong(1);
         private volatile boolean mAway;
         private volatile int mWrites;
+        private volatile Consumer<SharedRow> mListener = r -> {};
 
         private <T> CompletableFuture<T> reply(Callable<T> call) {
             if (mAway) {
@@ -86,7 +88,10 @@
 
         @Override
         public CompletableFuture<Void> put(String key, String value) {
-            return reply(() -> null);
+            SharedRow row = new SharedRow(key, value, mRevision.incrementAndGet());
+            mAll.put(key, row);
+            mListener.accept(row);
+            return CompletableFuture.completedFuture(null);
         }
 
         @Override
@@ -172,6 +177,7 @@
     @BeforeEach
     void start() throws Exception {
         mRouter = router();
+        mRows.mListener = mRouter.mFollower::onRead; // it waits for changes of the rows
     }
 
     @AfterEach
@@ -239,6 +245,31 @@
         assertThat(mRows.refused()).isEqualTo(1);
     }
 
+    /** Without the row, routers that no message reaches would lose two targets each. */
+    @Test
+    void aRouterThatIsCutOffFromTheOthersLearnsOfTwoEndsFromTheStore() throws Exception {
+        Router cutOff = router();
+        mRouter.crash(CONTENT, 1);
+        assertThat(mRows.mAll).isEmpty();
+        mRouter.crash(CONTENT, 2);
+        settle();
+        assertThat(mRows.mAll.keySet()).containsExactly("suspect/" + Hashes.text(CONTENT));
+        onLoop(() -> cutOff.hear(STORE_AHEAD));
+        assertThat(cutOff.verdict(CONTENT)).isEqualTo(Verdict.SERVE);
+        cutOff.crash(CONTENT, 3);
+        assertThat(cutOff.verdict(CONTENT)).isEqualTo(Verdict.REFUSE);
+    }
+
+    /** Requests beside two ends are many in a storm; beyond a bound only messages tell of them. */
+    @Test
+    void warningsAreBounded() throws Exception {
+        for (int i = 1; i <= 1_000; i++) {
+            mRouter.crash(i, 1);
+            mRouter.crash(i, 2);
+        }
+        assertThat(mRows.mAll.size()).isAtMost(MAX_ROWS);
+    }
+
     /** Two routers that convict at once leave one row, and neither writes again and again. */
     @Test
     void routersThatConvictAtOnceAgree() throws Exception {
