Read targets' rows strictly: a row of another writer names no target

Cause: the pages allow rows of other writers; the decoder took a number for a text, any state but draining for ready, a missing address's port, doubled fields, trailing text (by reading; the new table was not run on the old code). Before: such a row was a target to send to.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -41,6 +41,7 @@
     private final EventLoop mLoop;
     private final Clock mClock;
     private final Supplier<Map<String, Long>> mCalls;
+    private final Supplier<Map<String, Long>> mUnusable;
     private final PeerLink mLink;
     private final PeerClient mPeers;
     private final SourceWatch mWatch = new SourceWatch(this::onSourceBack);
@@ -90,6 +91,7 @@
         mLoop = loop;
         mClock = clock;
         mCalls = sources.calls();
+        mUnusable = sources.fleet()::unusableEntries;
         mLink = new PeerLink(loop, self, random, this::onMessage);
         mPeers = PeerClient.of(loop, clock, sources.peers());
         FollowerBase.Surroundings around =
@@ -166,6 +168,7 @@
         m.put("list_revision", targets().revision());
         m.put("list_age_ms", now - mTargets.confirmedAt());
         m.put("targets", targets().all().size());
+        m.put("unusable_entries", mUnusable.get());
         m.put("routers", mLink.routers());
         m.put("seats", mSeats.dump());
         m.put("quarantine", mQuarantine.dump());
--- a/forkseam-direct/src/main/java/org/forkseam/direct/spi/FleetSource.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/spi/FleetSource.java
@@ -3,6 +3,7 @@
 import org.forkseam.core.member.TargetEntry;
 
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -27,4 +28,7 @@
 
     /** Reads the list of targets. */
     CompletableFuture<Versioned<List<TargetEntry>>> readTargets();
+
+    /** Returns how many entries of the last list named no target to use, by what was wrong. */
+    Map<String, Long> unusableEntries();
 }
