Keep what is learned of a target by its start

Ruled out: ordering starts by their number (clocks step back): the newer revision of the list decides. Before: by id (nothing read the start).

--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -21,6 +21,7 @@
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final long mHash;
+    private final int mShortHash;
     private final TargetHealth mHealth = new TargetHealth();
     private final ErrorRate mErrors = new ErrorRate();
     private TargetEntry mEntry;
@@ -39,6 +40,7 @@
     private Target(TargetEntry entry) {
         mEntry = entry;
         mHash = Hashes.of(entry.id());
+        mShortHash = entry.start().shortHash();
     }
 
     /** Creates the state of a target that was not known before. */
@@ -60,7 +62,7 @@
         return mEntry;
     }
 
-    /** Takes a newer entry of the same target. */
+    /** Takes a newer entry of the same start of the target. */
     public void update(TargetEntry entry, long nowMillis) {
         boolean wasCold = mEntry.coldMillis() > 0;
         boolean longer = entry.coldMillis() > mEntry.coldMillis();
@@ -109,18 +111,9 @@
         return mHash;
     }
 
-    /** Returns part of the hash of its id, by which routers name it to each other. */
+    /** Returns by which name routers tell each other of it: another for each start. */
     public int shortHash() {
-        return (int) mHash;
-    }
-
-    /**
-     * Returns part of a hash of its id and start, never 0: alike on all routers, another for each
-     * start.
-     */
-    public int startHash() {
-        int hash = (int) Hashes.mix(mHash, mEntry.born());
-        return hash == 0 ? 1 : hash;
+        return mShortHash;
     }
 
     /**
--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetChange.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetChange.java
@@ -11,6 +11,8 @@
     public enum Kind {
         /** It was not listed before. */
         JOINED,
+        /** It has started again under its id, and holds nothing of before. */
+        RESTARTED,
         /** It takes no new work from now on. */
         LEAVING,
         /** It is not listed any more. */
--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
@@ -101,11 +101,8 @@
 
     private Optional<TargetChange> take(TargetEntry e, long now) {
         Target known = mById.get(e.id());
-        if (known == null) {
-            Target joined = Target.of(e, now);
-            markEvacuated(joined, now);
-            mById.put(e.id(), joined);
-            return Optional.of(new TargetChange(e, TargetChange.Kind.JOINED));
+        if (known == null || !known.entry().start().equals(e.start())) {
+            return Optional.of(join(e, known, now));
         }
         boolean nowLeaving = e.leaving() && !known.entry().leaving();
         known.update(e, now);
@@ -115,6 +112,21 @@
                 : Optional.empty();
     }
 
+    /** Takes in a target that is new, or has started again: nothing of before holds for it. */
+    private TargetChange join(TargetEntry e, Target before, long now) {
+        Target joined = Target.of(e, now);
+        markEvacuated(joined, now);
+        mById.put(e.id(), joined);
+        Lingering left = mLingering.remove(e.id());
+        if (before != null) {
+            before.markGone(); // requests that wait for a connection to it are placed anew
+        }
+        boolean restarted =
+                before != null || left != null && !left.target().entry().start().equals(e.start());
+        return new TargetChange(
+                e, restarted ? TargetChange.Kind.RESTARTED : TargetChange.Kind.JOINED);
+    }
+
     private void removeMissing(
             Map<String, TargetEntry> listed, List<TargetChange> changes, long now) {
         for (Target t : List.copyOf(mById.values())) {
@@ -149,7 +161,7 @@
         return mById.values();
     }
 
-    /** Finds a target by what other routers name it. */
+    /** Finds a target by what other routers name it; none if that start of it is over. */
     public Optional<Target> findByShortHash(int hash) {
         return Optional.ofNullable(mByShortHash.get(hash));
     }
@@ -175,6 +187,11 @@
                 : Optional.empty();
     }
 
+    /** Finds a target that still answers other targets, unless that start of it is over. */
+    public Optional<Target> findReachable(TargetStart start, long nowMillis) {
+        return findReachable(start.id(), nowMillis).filter(t -> t.entry().start().equals(start));
+    }
+
     /** Returns the revision of the newest list taken, or -1. */
     public long revision() {
         return mRevision;
--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetEntry.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetEntry.java
@@ -39,6 +39,11 @@
         this(id, pool, address, domain, slots, leaving, coldMillis, 0);
     }
 
+    /** Returns which start of the target it is the entry of. */
+    public TargetStart start() {
+        return new TargetStart(id, born);
+    }
+
     /**
      * Returns a hash of all fields, of the cold time only whether there is any: it runs off by
      * itself, and a target tells it anew with each heartbeat, which is no news.
--- a/forkseam-core/src/main/java/org/forkseam/core/route/HolderMemory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/HolderMemory.java
@@ -2,6 +2,7 @@
 
 import org.forkseam.core.member.Target;
 import org.forkseam.core.member.TargetDirectory;
+import org.forkseam.core.member.TargetStart;
 import org.forkseam.core.util.BoundedMap;
 
 import java.util.List;
@@ -27,7 +28,7 @@
     /** After so long a prompt may have given way to others. Origin: the pools' memory and rates. */
     private static final long KEPT_MILLIS = 60_000;
 
-    private final Map<Long, BoundedMap<String, Long>> mByKey = BoundedMap.byAccess(MAX_KEYS);
+    private final Map<Long, BoundedMap<TargetStart, Long>> mByKey = BoundedMap.byAccess(MAX_KEYS);
 
     private HolderMemory() {}
 
@@ -40,10 +41,10 @@
      * Notes that a target has answered a request with a key, and returns whether that was not known
      * before.
      */
-    public boolean onAnswered(long key, String targetId, long nowMillis) {
-        BoundedMap<String, Long> holders =
+    public boolean onAnswered(long key, TargetStart target, long nowMillis) {
+        BoundedMap<TargetStart, Long> holders =
                 mByKey.computeIfAbsent(key, k -> BoundedMap.byAccess(MAX_HOLDERS));
-        Long before = holders.put(targetId, nowMillis);
+        Long before = holders.put(target, nowMillis);
         return before == null || nowMillis - before >= KEPT_MILLIS;
     }
 
@@ -58,9 +59,9 @@
             List<String> likely,
             TargetDirectory directory,
             long nowMillis) {
-        BoundedMap<String, Long> holders = mByKey.get(key);
+        BoundedMap<TargetStart, Long> holders = mByKey.get(key);
         if (holders != null) {
-            Long at = holders.get(chosen.entry().id());
+            Long at = holders.get(chosen.entry().start());
             if (at != null && nowMillis - at < KEPT_MILLIS) {
                 return Optional.empty();
             }
@@ -73,10 +74,13 @@
     }
 
     private static Optional<Target> newest(
-            Map<String, Long> holders, Target chosen, TargetDirectory directory, long nowMillis) {
+            Map<TargetStart, Long> holders,
+            Target chosen,
+            TargetDirectory directory,
+            long nowMillis) {
         Target best = null;
         long bestAt = nowMillis - KEPT_MILLIS;
-        for (Map.Entry<String, Long> h : holders.entrySet()) {
+        for (Map.Entry<TargetStart, Long> h : holders.entrySet()) {
             Optional<Target> t = directory.findReachable(h.getKey(), nowMillis);
             if (h.getValue() > bestAt && t.isPresent() && isGood(t.get(), chosen, nowMillis)) {
                 best = t.get();
--- a/forkseam-core/src/main/java/org/forkseam/core/share/HolderFact.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/share/HolderFact.java
@@ -11,7 +11,7 @@
  * tell; once routers told each other, 1.7 million were read again.
  *
  * @param key hash of the key
- * @param target low bits of the hash of the target's id
+ * @param target names the start of the target that has read it
  * @since 0.4
  */
 public record HolderFact(long key, int target) {
--- a/forkseam-core/src/test/java/org/forkseam/core/member/TargetDirectoryTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/member/TargetDirectoryTest.java
@@ -98,4 +98,77 @@
         assertThat(takesWork("a")).isTrue();
         assertThat(takesWork("late")).isTrue();
     }
+
+    // ---------------------------------------------------------------- starts under the same id
+
+    private static TargetEntry born(String id, long millis) {
+        return new TargetEntry(id, "pool", "10.0.0.1:1", "z", 8, false, 0, millis);
+    }
+
+    private Target a() {
+        return mDirectory.find("a").orElseThrow();
+    }
+
+    /** Nothing that was learned of a target holds once it has started again. */
+    @Test
+    void aTargetThatStartsAgainBeginsAnew() {
+        mDirectory.apply(1, List.of(born("a", 5_000)), 0);
+        Target before = a();
+        before.onSent(10);
+        before.onLoad(40, 10);
+        before.onRefused(10);
+        before.health().onFailure(10);
+        before.markGone();
+        List<TargetChange> changes = mDirectory.apply(2, List.of(born("a", 6_000)), 20);
+        assertThat(changes)
+                .containsExactly(new TargetChange(born("a", 6_000), TargetChange.Kind.RESTARTED));
+        assertThat(a()).isNotSameInstanceAs(before);
+        assertThat(a().takesWork()).isTrue();
+        assertThat(a().inFlight()).isEqualTo(0);
+        assertThat(a().readingAgeMillis(20)).isEqualTo(-1);
+        assertThat(a().isFull(20)).isFalse();
+        assertThat(a().health().share(20)).isEqualTo(1.0);
+        assertThat(before.takesWork()).isFalse();
+    }
+
+    /** The time of day of a host may have stepped back: the newer list decides. */
+    @Test
+    void aLaterStartMayHaveASmallerNumber() {
+        mDirectory.apply(1, List.of(born("a", 6_000)), 0);
+        mDirectory.apply(3, List.of(born("a", 4_000)), 10);
+        assertThat(a().entry().born()).isEqualTo(4_000);
+        assertThat(mDirectory.apply(2, List.of(born("a", 6_000)), 20)).isEmpty();
+        assertThat(a().entry().born()).isEqualTo(4_000);
+    }
+
+    /** What other routers told of the start before arrives late, and names nothing any more. */
+    @Test
+    void newsOfAnEarlierStartNameNoTarget() {
+        mDirectory.apply(1, List.of(born("a", 5_000)), 0);
+        int earlier = a().shortHash();
+        mDirectory.apply(2, List.of(born("a", 6_000)), 10);
+        assertThat(mDirectory.findByShortHash(earlier).isPresent()).isFalse();
+        assertThat(mDirectory.findByShortHash(a().shortHash()).isPresent()).isTrue();
+        assertThat(mDirectory.findReachable(new TargetStart("a", 5_000), 10).isPresent()).isFalse();
+        assertThat(mDirectory.findReachable(new TargetStart("a", 6_000), 10).isPresent()).isTrue();
+    }
+
+    @Test
+    void anEntryThatLapsedMayComeBackWithTheSameStartOrAnother() {
+        mDirectory.apply(1, List.of(born("a", 5_000), born("b", 5_000)), 0);
+        mDirectory.apply(2, List.of(), 10);
+        assertThat(mDirectory.apply(3, List.of(born("a", 5_000), born("b", 7_000)), 20))
+                .containsExactly(
+                        new TargetChange(born("a", 5_000), TargetChange.Kind.JOINED),
+                        new TargetChange(born("b", 7_000), TargetChange.Kind.RESTARTED));
+    }
+
+    /** An evacuated domain stays evacuated whatever its targets do. */
+    @Test
+    void aTargetThatStartsAgainStaysEvacuated() {
+        mDirectory.setEvacuated(Set.of("z"), 0);
+        mDirectory.apply(1, List.of(born("a", 5_000)), 0);
+        mDirectory.apply(2, List.of(born("a", 6_000)), 10);
+        assertThat(a().takesWork()).isFalse();
+    }
 }
--- a/forkseam-core/src/test/java/org/forkseam/core/route/HolderMemoryTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/HolderMemoryTest.java
@@ -5,6 +5,7 @@
 import org.forkseam.core.member.Target;
 import org.forkseam.core.member.TargetDirectory;
 import org.forkseam.core.member.TargetEntry;
+import org.forkseam.core.member.TargetStart;
 import org.junit.jupiter.api.Test;
 
 import java.util.List;
@@ -25,6 +26,10 @@
         return new TargetEntry(id, "pool", "10.0.0.1:1", "z", 8, false, 0);
     }
 
+    private static TargetStart start(String id) {
+        return new TargetStart(id, 0);
+    }
+
     private Target target(String id) {
         return mDirectory.find(id).orElseThrow();
     }
@@ -36,17 +41,30 @@
 
     @Test
     void aTargetThatHasServedTheKeyCopiesNothing() {
-        mMemory.onAnswered(KEY, "a", 0);
+        mMemory.onAnswered(KEY, start("a"), 0);
         assertThat(source("a", 100, "b", "a")).isEqualTo(Optional.empty());
     }
 
     @Test
     void theNewestKnownHolderIsTheSource() {
-        mMemory.onAnswered(KEY, "a", 10);
-        mMemory.onAnswered(KEY, "b", 20);
+        mMemory.onAnswered(KEY, start("a"), 10);
+        mMemory.onAnswered(KEY, start("b"), 20);
         assertThat(source("c", 100, "c", "a")).isEqualTo(Optional.of("b"));
     }
 
+    /** What an earlier start of a target had read is gone, and it is no source either. */
+    @Test
+    void whatATargetHadReadEndsWithItsStart() {
+        mMemory.onAnswered(KEY, start("a"), 10);
+        mMemory.onAnswered(KEY, start("b"), 20);
+        TargetEntry again = new TargetEntry("b", "pool", "10.0.0.1:1", "z", 8, false, 0, 1_000);
+        mDirectory.apply(2, List.of(entry("a"), again, entry("c")), 50);
+        assertThat(source("c", 100, "c")).isEqualTo(Optional.of("a"));
+        assertThat(source("b", 100, "b")).isEqualTo(Optional.of("a"));
+        mMemory.onAnswered(KEY, again.start(), 110);
+        assertThat(source("c", 120, "c")).isEqualTo(Optional.of("b"));
+    }
+
     @Test
     void aHomeThatWasAlwaysHomeCopiesNothing() {
         assertThat(source("a", 100, "a", "b")).isEqualTo(Optional.empty());
@@ -66,7 +84,7 @@
 
     @Test
     void aTargetThatLeftWithoutAWordIsASourceForAMoment() {
-        mMemory.onAnswered(KEY, "a", 10);
+        mMemory.onAnswered(KEY, start("a"), 10);
         target("a").onHeard(1_000);
         mDirectory.apply(2, List.of(entry("b"), entry("c")), 1_500);
         assertThat(source("c", 2_000, "c")).isEqualTo(Optional.of("a"));
--- a/forkseam-direct/src/main/java/org/forkseam/direct/StoreMeters.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/StoreMeters.java
@@ -32,6 +32,12 @@
         FunctionCounter.builder(
                         "forkseam.evacuations.changes", mKnowledge, Knowledge::evacuationChanges)
                 .register(registry);
+        Gauge.builder("forkseam.quarantined", mKnowledge, k -> k.quarantine().refused())
+                .description("requests that no target gets")
+                .register(registry);
+        Gauge.builder("forkseam.entries.unusable", mKnowledge, Knowledge::unusableEntries)
+                .description("rows among the targets' that name none")
+                .register(registry);
         Gauge.builder("forkseam.evacuations", mKnowledge, k -> k.evacuated().size())
                 .register(registry);
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CrashWatch.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CrashWatch.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.flow;
 
 import org.forkseam.core.member.Target;
+import org.forkseam.core.member.TargetStart;
 import org.forkseam.direct.io.BreakKind;
 import org.forkseam.direct.io.ConnectionUser;
 import org.forkseam.direct.io.HttpConnection;
@@ -31,7 +32,7 @@
 
     private final Targets mTargets;
     private final Quarantine mQuarantine;
-    private final Map<String, Look> mLooks = new HashMap<>();
+    private final Map<TargetStart, Look> mLooks = new HashMap<>();
     private long mCrashes;
 
     CrashWatch(Targets targets, Quarantine quarantine) {
@@ -57,11 +58,11 @@
             then.run();
             return;
         }
-        Look look = mLooks.get(t.entry().id());
+        Look look = mLooks.get(t.entry().start());
         boolean isNew = look == null;
         if (isNew) {
             look = new Look(t);
-            mLooks.put(t.entry().id(), look);
+            mLooks.put(t.entry().start(), look);
         }
         look.mContents.add(content);
         boolean decides = mQuarantine.isLastCrashAllowed(content);
@@ -85,7 +86,7 @@
 
         Look(Target t) {
             mTarget = t;
-            mCrash = t.startHash();
+            mCrash = t.shortHash();
         }
 
         @Override
@@ -113,7 +114,7 @@
         }
 
         private void finish() {
-            mLooks.remove(mTarget.entry().id());
+            mLooks.remove(mTarget.entry().start());
             mThen.forEach(Runnable::run);
         }
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -6,6 +6,7 @@
 import org.forkseam.core.admit.ColdGate;
 import org.forkseam.core.kernel.Service;
 import org.forkseam.core.member.Target;
+import org.forkseam.core.member.TargetStart;
 import org.forkseam.core.route.CandidateFilter;
 import org.forkseam.core.route.HomePicker;
 import org.forkseam.core.route.HomeRegions;
@@ -252,9 +253,9 @@
     }
 
     private void tidy(long now) {
-        Set<String> known = new HashSet<>();
+        Set<TargetStart> known = new HashSet<>();
         for (Target t : mKnowledge.targets().all()) {
-            known.add(t.entry().id());
+            known.add(t.entry().start());
             mContext.targets().limit(t, mKnowledge.config().pool(t.entry().pool()), routers());
         }
         mContext.targets().tidy(known);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Targets.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Targets.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.flow;
 
 import org.forkseam.core.member.Target;
+import org.forkseam.core.member.TargetStart;
 import org.forkseam.core.traffic.Pool;
 import org.forkseam.core.util.Clock;
 import org.forkseam.direct.io.ConnectionPool;
@@ -12,7 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 
-/** Keeps the connections to targets, a pool for each life of a target. */
+/** Keeps the connections to targets, a pool for each start of a target. */
 final class Targets {
     /** Share of a target's connections that all routers together use. */
     private static final double USED_SHARE = 0.9;
@@ -22,7 +23,7 @@
 
     private final Connector mConnector;
     private final Clock mClock;
-    private final Map<String, ConnectionPool> mPools = new HashMap<>();
+    private final Map<TargetStart, ConnectionPool> mPools = new HashMap<>();
 
     Targets(Connector connector, Clock clock) {
         mConnector = connector;
@@ -32,7 +33,7 @@
     /** Returns the connections to a target. */
     ConnectionPool pool(Target t) {
         return mPools.computeIfAbsent(
-                t.entry().id(), id -> ConnectionPool.of(mConnector, mClock, t.entry().address()));
+                t.entry().start(), s -> ConnectionPool.of(mConnector, mClock, t.entry().address()));
     }
 
     /** Sets each target's limit to this router's share of what the target takes. */
@@ -44,10 +45,10 @@
     }
 
     /** Closes connections that are idle for long, and those to targets that are not known. */
-    void tidy(Set<String> known) {
-        Iterator<Map.Entry<String, ConnectionPool>> i = mPools.entrySet().iterator();
+    void tidy(Set<TargetStart> known) {
+        Iterator<Map.Entry<TargetStart, ConnectionPool>> i = mPools.entrySet().iterator();
         while (i.hasNext()) {
-            Map.Entry<String, ConnectionPool> e = i.next();
+            Map.Entry<TargetStart, ConnectionPool> e = i.next();
             if (known.contains(e.getKey())) {
                 e.getValue().closeIdle(MAX_IDLE_MILLIS);
             } else {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -96,7 +96,7 @@
         mPeers = PeerClient.of(loop, clock, sources.peers());
         FollowerBase.Surroundings around =
                 new FollowerBase.Surroundings(loop, clock, random, mLink, mWatch, this::isComplete);
-        mTargets = new TargetFollower(around, sources.fleet(), listMillis);
+        mTargets = new TargetFollower(around, sources.fleet(), listMillis, this::onRestart);
         mConfig = new ConfigFollower(around, sources.fleet(), new OperatorListener());
         mRows = new RowFollower(around, sources.shared(), this::onRow);
         mSeats = new Seats(around, sources.shared(), mRows, mTargets.targets());
@@ -231,6 +231,11 @@
         return mRows.knowsRouters() ? Optional.of(mLink.shareFor(targetHash)) : Optional.empty();
     }
 
+    /** Returns the number of entries among the targets' that name none. */
+    public long unusableEntries() {
+        return mUnusable.get().values().stream().mapToLong(Long::longValue).sum();
+    }
+
     /** Returns the number of routers known, at least this one. */
     public int routers() {
         return mLink.routers();
@@ -276,6 +281,10 @@
         }
     }
 
+    private void onRestart(String targetId) {
+        mSeats.onRestart(targetId);
+    }
+
     private void onRow(SharedRow row) {
         mSeats.take(row);
         mQuarantine.take(row);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Quarantine.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Quarantine.java
@@ -184,6 +184,11 @@
         return m;
     }
 
+    /** Returns the number of requests that rows refuse. */
+    public int refused() {
+        return mKnown.size();
+    }
+
     /** Returns the number of requests under which a target has ended, without the refused ones. */
     int suspects() {
         return mSuspects.size();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
@@ -63,7 +63,10 @@
     private final Map<String, SeatPlanner> mPlanners = new HashMap<>();
     private final Map<String, Long> mLastRequest = new HashMap<>();
     private final Map<String, SpillShare> mSpills = new HashMap<>();
+
+    /** Holders of seats that have not read what their keys' others have: new, or started again. */
     private final Set<String> mAddedWhileBusy = new HashSet<>();
+
     private final Map<String, String> mPrevious = BoundedMap.byInsertion(MAX_PREVIOUS);
     private final RowFollower mFollower;
     private final long mStarted;
@@ -198,6 +201,14 @@
         mAddedWhileBusy.retainAll(allHolders());
     }
 
+    /** Notes that a target has started again under its id: it has not read what its seat tells. */
+    void onRestart(String targetId) {
+        mPrevious.remove(targetId);
+        if (allHolders().contains(targetId)) {
+            mAddedWhileBusy.add(targetId);
+        }
+    }
+
     private Set<String> allHolders() {
         Set<String> all = new HashSet<>();
         mTables.values().forEach(t -> all.addAll(t.holders()));
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Future;
+import java.util.function.Consumer;
 
 /**
  * Follows the list of targets. One router reads it for all and tells the others what has changed;
@@ -31,6 +32,7 @@
     private final TargetDirectory mTargets = TargetDirectory.create();
     private long mPauseMillis;
     private TargetNews.Listed mList = TargetNews.Listed.of(List.of());
+    private final Consumer<String> mOnRestart;
     private long mReadAt = Long.MIN_VALUE;
     private int mStepsLeft;
     private int mFailures;
@@ -44,10 +46,13 @@
      * Creates a follower that knows nothing yet.
      *
      * @param pauseMillis between two reads of the list, by whatever router
+     * @param onRestart is told the ids of targets that have started again
      */
-    TargetFollower(Surroundings around, FleetSource source, long pauseMillis) {
+    TargetFollower(
+            Surroundings around, FleetSource source, long pauseMillis, Consumer<String> onRestart) {
         super(around);
         mSource = source;
+        mOnRestart = onRestart;
         mPauseMillis = pauseMillis;
     }
 
@@ -115,7 +120,7 @@
     private void take(TargetNews.Listed list, long revision, long confirmedAt) {
         mListed = true;
         mConfirmedAt = confirmedAt;
-        mTargets.apply(revision, list.entries(), now()).forEach(this::logChange);
+        mTargets.apply(revision, list.entries(), now()).forEach(this::onChange);
         mList = list;
     }
 
@@ -137,6 +142,13 @@
         read(Telling.ALL);
     }
 
+    private void onChange(TargetChange c) {
+        logChange(c);
+        if (c.kind() == TargetChange.Kind.RESTARTED) {
+            mOnRestart.accept(c.entry().id());
+        }
+    }
+
     private void logChange(TargetChange c) {
         Event.always("target_" + c.kind().name().toLowerCase(Locale.ROOT))
                 .with("target", c.entry().id())
@@ -214,6 +226,6 @@
             return;
         }
         mListed = true;
-        mTargets.apply(revision, list, now()).forEach(this::logChange);
+        mTargets.apply(revision, list, now()).forEach(this::onChange);
     }
 }
