--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -2,8 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 
 import org.forkseam.core.member.Target;
@@ -31,6 +29,9 @@
     /** A request waits so long for a router that has just started; then it is refused. */
     private static final long AWAIT_KNOWLEDGE_MILLIS = 600;
 
+    /** By then such a router knows enough, or the balancer has taken it out. Unit: ms. */
+    private static final long IGNORANT_BACK_MILLIS = 500;
+
     /**
      * Share of its objective that a request must have left to be sent: with less, an answer hardly
      * comes before the caller gives up, and the target works in vain. Origin: the operators, who do
@@ -44,6 +45,7 @@
     private final long mContent;
     private final QuarantineCheck mQuarantine;
     private final FlowRecord mRecord;
+    private final FinalAnswer mFinal;
     private final long mReadAt;
     private final RequestPlacement mPlacement;
     private final AttemptTally mTally = new AttemptTally();
@@ -64,6 +66,7 @@
         mContent = request.contentHash();
         mQuarantine = new QuarantineCheck(context.knowledge().quarantine(), mContent);
         mRecord = new FlowRecord(context, request, mContent);
+        mFinal = new FinalAnswer(context, request, sink, this::finish);
         mPlacement = new RequestPlacement(context, request);
         mReadAt = context.now();
     }
@@ -103,16 +106,10 @@
         if (verdict instanceof Gate.Passed p) {
             admit(p);
         } else {
-            turnAway((Gate.TurnedAway) verdict);
+            mFinal.turnAway((Gate.TurnedAway) verdict);
         }
     }
 
-    private void turnAway(Gate.TurnedAway t) {
-        finishOwn(
-                "turned_away_" + t.status().code(),
-                mContext.answers().own(mRequest.id(), t.status(), t.why()));
-    }
-
     private void admit(Gate.Passed p) {
         mRoute = p.route();
         mTeam = p.team();
@@ -278,8 +275,7 @@
     private void refuseIfIgnorant(long now) {
         if (now - mReadAt > AWAIT_KNOWLEDGE_MILLIS) {
             mConfig = mContext.knowledge().config();
-            finishOwn(
-                    "no_config", mContext.answers().notRun(mRequest.id(), "no configuration", 500));
+            mFinal.refuseIgnorant(IGNORANT_BACK_MILLIS);
         }
     }
 
@@ -342,20 +338,15 @@
         mContext.comeBack(mPool).onServed(mContext.now());
         mPlacement.onAnswered(mPool, a.target());
         if (mRoute.kind().isStream() && mStreaming) {
-            finish("answered");
-            mSink.end();
-            return;
+            mFinal.endStream();
+        } else {
+            mFinal.pass(a);
         }
-        finish("answered");
-        mContext.counters().onFirstByte(mContext.now() - mRequest.receivedMillis());
-        boolean bodiless = mRequest.method().equals(HttpMethod.HEAD);
-        mSink.answer(mContext.answers().whole(a.head(), a.body(), bodiless));
     }
 
     private void finishFailed(Attempt a, AttemptEnd end) {
         if (end.kind() == AttemptEnd.Kind.FAILED && !mStreaming && passesAsIs(a)) {
-            finish("target_failed");
-            mSink.answer(mContext.answers().whole(a.head(), a.body(), false));
+            mFinal.passFailure(a);
             return;
         }
         giveUp(end.kind().name().toLowerCase(Locale.ROOT));
@@ -367,52 +358,29 @@
     }
 
     private void giveUp(String why) {
-        if (mStreaming || mTally.mayHaveRun()) {
-            fail(why);
-            return;
+        if (!failIfBegun(why)) {
+            mFinal.refuse(why, mContext.comeBack(mPool).onRefused(mContext.now()));
         }
-        finishOwn(
-                "refused_" + why,
-                mContext.answers().notRun(mRequest.id(), "not run: " + why, backInMillis()));
     }
 
     /** Ends a request under which targets end. */
     private void giveUpQuarantined() {
-        if (mStreaming || mTally.mayHaveRun()) {
-            fail("quarantined");
-            return;
+        if (!failIfBegun("quarantined")) {
+            mFinal.refuseQuarantined(mQuarantine.backInMillis());
         }
-        finishOwn(
-                "refused_quarantined",
-                mContext.answers()
-                        .notRunBefore(
-                                mRequest.id(),
-                                "not run: targets have ended under this request",
-                                mQuarantine.backInMillis()));
     }
 
-    /** Ends a request that may have run. */
-    private void fail(String why) {
+    /** Ends a request that may have run, or returns false if it has certainly not. */
+    private boolean failIfBegun(String why) {
         if (mStreaming) {
-            finish("broken_off");
-            mSink.breakOff();
-            return;
+            mFinal.breakOff();
+            return true;
         }
-        boolean late = mContext.now() >= mDeadline;
-        HttpResponseStatus status =
-                late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY;
-        finishOwn(
-                "failed_" + why,
-                mContext.answers().own(mRequest.id(), status, "may have run: " + why));
-    }
-
-    private long backInMillis() {
-        return mContext.comeBack(mPool).onRefused(mContext.now());
-    }
-
-    private void finishOwn(String outcome, FullHttpResponse r) {
-        finish(outcome);
-        mSink.answer(r);
+        if (mTally.mayHaveRun()) {
+            mFinal.fail(why, mContext.now() >= mDeadline);
+            return true;
+        }
+        return false;
     }
 
     private void finish(String outcome) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Quarantine.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Quarantine.java
@@ -4,19 +4,15 @@
 import org.forkseam.core.crash.CrashSuspects;
 import org.forkseam.core.crash.QuarantineTerm;
 import org.forkseam.core.share.FactExchange;
-import org.forkseam.core.util.BoundedMap;
 import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.SharedRow;
 import org.forkseam.direct.spi.SharedRows;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -32,18 +28,6 @@
  * @since 0.5
  */
 public final class Quarantine extends FollowerBase {
-    /** Names the rows of refused requests; the content's hash follows. */
-    private static final String ROW = "quarantine/";
-
-    /**
-     * Rows written at most, some 120 bytes each, so that a flood of different requests fills
-     * neither the store nor the routers; each of them has ended three targets.
-     */
-    private static final int MAX_ROWS = 256;
-
-    /** Rows remembered: several routers may write the last few at once. */
-    private static final int MAX_KNOWN = 2 * MAX_ROWS;
-
     /**
      * Routers that learn of a third end write the row at a random moment of a span that grows with
      * their number, so that a few of them write it; the one that saw the end writes at once. The
@@ -57,14 +41,12 @@
     /** Rows whose time is over are looked for so often. Unit: milliseconds. */
     private static final long SWEEP_MILLIS = 60_000;
 
-    private final SharedRows mRows;
     private final RowFollower mFollower;
+    private final QuarantineRows mRows;
+    private final CrashWarnings mWarnings;
     private final CrashSuspects mSuspects = CrashSuspects.create();
     private final FactExchange<CrashFact> mNews =
-            FactExchange.of(CrashFact.MAX_FACTS, f -> crashesOf(f.content()));
-    private final CrashWarnings mWarnings;
-    private final Map<Long, Row> mKnown = BoundedMap.byInsertion(MAX_KNOWN);
-    private final Set<Long> mWriting = new HashSet<>();
+            FactExchange.of(CrashFact.MAX_FACTS, f -> mSuspects.crashes(f.content()));
     private int mWriteFailures;
 
     /** Says what to do with a request. */
@@ -77,14 +59,11 @@
         TRY
     }
 
-    /** Holds a term, and the revision of its row. */
-    private record Row(QuarantineTerm term, long revision) {}
-
     /** Creates one that knows nothing yet; terms are told by the clock of the rows' store. */
     Quarantine(Surroundings around, SharedRows rows, RowFollower follower) {
         super(around);
-        mRows = rows;
         mFollower = follower;
+        mRows = new QuarantineRows(rows, follower);
         mWarnings = new CrashWarnings(rows, follower::storeMillis);
     }
 
@@ -96,61 +75,55 @@
 
     /** Returns what to do with a request. */
     public Verdict verdict(long content) {
-        if (!isRefusedByRow(content)) {
+        Optional<QuarantineTerm> term = mRows.term(content);
+        if (term.isEmpty()) {
             return mSuspects.isConvicted(content) ? Verdict.REFUSE : Verdict.SERVE;
         }
-        QuarantineTerm term = mKnown.get(content).term();
-        boolean isOver = storeMillis().isPresent() && !term.isRunning(storeMillis().getAsLong());
+        OptionalLong now = mFollower.storeMillis();
+        boolean isOver = now.isPresent() && !term.get().isRunning(now.getAsLong());
         return isOver ? Verdict.TRY : Verdict.REFUSE;
     }
 
     /** Returns after how many milliseconds a refused caller should come back. */
     public long backInMillis(long content) {
-        long now = storeMillis().orElse(0);
-        Row row = mKnown.get(content);
-        QuarantineTerm term = row == null ? QuarantineTerm.first(now) : row.term();
+        long now = mFollower.storeMillis().orElse(0);
+        QuarantineTerm term = mRows.term(content).orElse(QuarantineTerm.first(now));
         return Math.max(1, term.leftMillis(now));
     }
 
     /** Asks to send a request once whose term is over; of all routers, one may at a time. */
     public CompletableFuture<Boolean> askToTry(long content) {
-        Row row = mKnown.get(content);
-        if (row == null || storeMillis().isEmpty()) {
+        Optional<QuarantineTerm> term = mRows.term(content);
+        OptionalLong now = mFollower.storeMillis();
+        if (term.isEmpty() || now.isEmpty()) {
             return CompletableFuture.completedFuture(false); // changed meanwhile
         }
-        QuarantineTerm tried = row.term().tried(storeMillis().getAsLong(), link().host());
-        return mRows.compareAndSet(key(content), tried.write(), row.revision())
-                .handle((now, failure) -> onTrialAsked(content, tried, now, failure));
-    }
-
-    private boolean onTrialAsked(
-            long content, QuarantineTerm tried, SharedRow row, Throwable failure) {
-        if (failure != null) {
-            logFailure(content, failure);
-            return false;
-        }
-        boolean granted = row.value().equals(tried.write());
-        takeWritten(row, granted);
-        Event.always("quarantine_trial")
-                .with("content", Hashes.text(content))
-                .with("granted", granted)
-                .log();
-        return granted;
+        QuarantineTerm tried = term.get().tried(now.getAsLong(), link().host());
+        return mRows.write(content, tried)
+                .exceptionally(e -> false) // logged where it failed
+                .whenComplete(
+                        (granted, e) ->
+                                Event.always("quarantine_trial")
+                                        .with("content", Hashes.text(content))
+                                        .with("granted", granted)
+                                        .log());
     }
 
     /** Notes how the trial of a request ended that this router was allowed. */
     public void onTrialEnded(long content, boolean answered) {
-        Row row = mKnown.get(content);
-        if (row != null && storeMillis().isPresent()) {
-            long now = storeMillis().getAsLong();
-            write(content, answered ? QuarantineTerm.released() : row.term().doubled(now));
+        Optional<QuarantineTerm> term = mRows.term(content);
+        OptionalLong now = mFollower.storeMillis();
+        if (term.isPresent() && now.isPresent()) {
+            QuarantineTerm next =
+                    answered ? QuarantineTerm.released() : term.get().doubled(now.getAsLong());
+            mRows.write(content, next); // if it fails, another trial follows
         }
     }
 
     /** Notes that a request's target ended, as this router saw. */
     public void onCrash(long content, int crash) {
         CrashFact fact = new CrashFact(content, crash);
-        if (!isRefusedByRow(content) && mSuspects.take(fact, now())) {
+        if (suspect(fact)) {
             mNews.add(fact);
             onSuspected(content, true);
         }
@@ -169,24 +142,14 @@
         return mSuspects.crashes(content) == CrashSuspects.CRASHES_TO_CONVICT - 1;
     }
 
-    /** Returns how many targets are known to have ended under a request. */
-    public int crashesOf(long content) {
-        return mKnown.containsKey(content)
-                ? CrashSuspects.CRASHES_TO_CONVICT
-                : mSuspects.crashes(content);
-    }
-
     /** Returns the refused requests, and for how many milliseconds more. */
     Map<String, Long> dump() {
-        Map<String, Long> m = new TreeMap<>();
-        long now = storeMillis().orElse(0);
-        mKnown.forEach((c, r) -> m.put(Hashes.text(c), r.term().leftMillis(now)));
-        return m;
+        return mRows.dump(mFollower.storeMillis().orElse(0));
     }
 
     /** Returns the number of requests that rows refuse. */
     public int refused() {
-        return mKnown.size();
+        return mRows.size();
     }
 
     /** Returns the number of requests under which a target has ended, without the refused ones. */
@@ -194,10 +157,6 @@
         return mSuspects.size();
     }
 
-    private OptionalLong storeMillis() {
-        return mFollower.storeMillis();
-    }
-
     // ---------------------------------------------------------------- other routers
 
     /** Returns what another router should be told. */
@@ -208,20 +167,27 @@
     /** Takes in what another router has learned. */
     void take(List<CrashFact> facts) {
         for (CrashFact f : facts) {
-            if (!isRefusedByRow(f.content()) && mSuspects.take(f, now())) {
+            if (suspect(f)) {
                 mNews.add(f);
                 onSuspected(f.content(), false);
             }
         }
     }
 
+    /** Counts an end of a target, and returns whether it was news. */
+    private boolean suspect(CrashFact f) {
+        return mRows.term(f.content()).isEmpty() && mSuspects.take(f, now());
+    }
+
     private void onSuspected(long content, boolean sawIt) {
-        if (!mSuspects.isConvicted(content)) {
-            if (sawIt && isLastCrashAllowed(content)) {
-                mWarnings.write(content, mSuspects.of(content));
-            }
-            return;
+        if (mSuspects.isConvicted(content)) {
+            onConvicted(content, sawIt);
+        } else if (sawIt && isLastCrashAllowed(content)) {
+            mWarnings.write(content, mSuspects.of(content));
         }
+    }
+
+    private void onConvicted(long content, boolean sawIt) {
         Event.always("request_convicted")
                 .with("content", Hashes.text(content))
                 .with("crashes", mSuspects.crashes(content))
@@ -232,140 +198,64 @@
         later(sawIt || span == 0 ? 0 : random().nextLong(span), () -> writeFirst(content));
     }
 
-    private boolean isRefusedByRow(long content) {
-        Row row = mKnown.get(content);
-        return row != null && !row.term().isReleased();
-    }
-
     // ---------------------------------------------------------------- rows
 
-    private static String key(long content) {
-        return ROW + Hashes.text(content);
-    }
-
-    /** Takes in a row that changed, if it is one of a refused request. */
+    /** Takes in a row that changed. */
     void take(SharedRow row) {
         mWarnings.take(row).forEach(this::takeWarning);
-        if (!row.key().startsWith(ROW)) {
-            return;
-        }
-        Optional<Long> content = content(row.key());
-        Optional<QuarantineTerm> term = QuarantineTerm.read(row.value());
-        if (content.isEmpty() || row.revision() > 0 && term.isEmpty()) {
-            Event.of("quarantine_row_malformed").with("row", row.key()).log();
-            return;
-        }
-        if (term.isEmpty()) {
-            mKnown.remove(content.get()); // an operator, or a router after its time
-        } else {
-            mKnown.put(content.get(), new Row(term.get(), row.revision()));
-            mNews.removeIf(f -> f.content() == content.get()); // all read the row
-        }
-        mSuspects.forget(content.get());
-        Event.always("quarantine")
-                .with("content", row.key().substring(ROW.length()))
-                .with("revision", row.revision())
-                .with("term_ms", term.map(QuarantineTerm::termMillis).orElse(0L))
-                .log();
+        mRows.take(row).ifPresent(this::onChange);
     }
 
-    /** Takes in what a row tells of; all read the row, so that it is not passed on. */
+    /** All read the row that warns, so that it is not passed on. */
     private void takeWarning(CrashFact f) {
-        if (!isRefusedByRow(f.content()) && mSuspects.take(f, now())) {
+        if (suspect(f)) {
             onSuspected(f.content(), false);
         }
     }
 
-    private static Optional<Long> content(String key) {
-        try {
-            return Optional.of(Long.parseUnsignedLong(key.substring(ROW.length()), 16));
-        } catch (NumberFormatException e) {
-            return Optional.empty(); // the caller logs the row
-        }
+    private void onChange(QuarantineRows.Change c) {
+        mNews.removeIf(f -> f.content() == c.content()); // all read the row
+        mSuspects.forget(c.content());
+        Event.always("quarantine")
+                .with("content", Hashes.text(c.content()))
+                .with("term_ms", c.term().map(QuarantineTerm::termMillis).orElse(0L))
+                .log();
     }
 
     /** Writes the first row of a convicted request, unless another router has. */
     private void writeFirst(long content) {
-        if (isStopped() || isRefusedByRow(content) || !mSuspects.isConvicted(content)) {
+        if (isStopped() || !mSuspects.isConvicted(content)) {
             return;
         }
-        if (storeMillis().isEmpty()) {
-            later(pauseAfter(++mWriteFailures), () -> writeFirst(content));
+        OptionalLong now = mFollower.storeMillis();
+        if (now.isEmpty()) {
+            writeAgain(content);
             return;
         }
-        if (mKnown.size() >= MAX_ROWS) {
-            removeEldest();
-        }
-        write(content, QuarantineTerm.first(storeMillis().getAsLong()));
-    }
-
-    private void removeEldest() {
-        long eldest = mKnown.keySet().iterator().next();
-        mKnown.remove(eldest);
-        remove(eldest);
-    }
-
-    private void remove(long content) {
-        mRows.remove(key(content))
-                .exceptionally(
-                        e -> {
-                            logFailure(content, e);
-                            return null;
+        mRows.write(content, QuarantineTerm.first(now.getAsLong()))
+                .whenComplete(
+                        (own, failure) -> {
+                            if (failure == null) {
+                                mWriteFailures = 0;
+                            } else {
+                                writeAgain(content);
+                            }
                         });
     }
 
-    private void write(long content, QuarantineTerm term) {
-        if (!mWriting.add(content)) {
-            return;
-        }
-        long revision = Optional.ofNullable(mKnown.get(content)).map(Row::revision).orElse(0L);
-        mRows.compareAndSet(key(content), term.write(), revision)
-                .whenComplete((row, failure) -> onWritten(content, term, row, failure));
-    }
-
-    private void onWritten(long content, QuarantineTerm term, SharedRow row, Throwable failure) {
-        mWriting.remove(content);
-        if (failure != null) {
-            logFailure(content, failure);
-            later(pauseAfter(++mWriteFailures), () -> writeFirst(content));
-            return;
-        }
-        mWriteFailures = 0;
-        takeWritten(row, row.value().equals(term.write()));
-    }
-
-    /** Takes in the row after a write; another router's row is told by that one. */
-    private void takeWritten(SharedRow row, boolean isOwn) {
-        if (isOwn) {
-            mFollower.onWritten(row);
-        } else {
-            mFollower.onRead(row);
-        }
-    }
-
-    private static void logFailure(long content, Throwable e) {
-        Event.of("shared_row_not_written")
-                .with("row", key(content))
-                .with("cause", e.getMessage())
-                .log();
+    private void writeAgain(long content) {
+        later(pauseAfter(++mWriteFailures), () -> writeFirst(content));
     }
 
-    /** Removes the rows that nobody has asked for in a whole term; one router does it for all. */
+    /** Removes the rows of which nobody has use any more; one router does it for all. */
     private void sweep() {
         if (isStopped()) {
             return;
         }
         later(SWEEP_MILLIS + spread(), this::sweep);
-        if (!mFollower.isReader()) {
-            return;
-        }
-        mWarnings.sweep();
-        long now = storeMillis().orElse(0);
-        for (Map.Entry<Long, Row> e : List.copyOf(mKnown.entrySet())) {
-            if (e.getValue().term().isOver(now)) {
-                mKnown.remove(e.getKey());
-                remove(e.getKey());
-            }
+        if (mFollower.isReader() && mFollower.storeMillis().isPresent()) {
+            mRows.sweep(mFollower.storeMillis().getAsLong());
+            mWarnings.sweep();
         }
     }
 }
