--- a/forkseam-core/src/main/java/org/forkseam/core/share/FactExchange.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/share/FactExchange.java
@@ -8,6 +8,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 
 /**
@@ -80,7 +81,7 @@
     }
 
     /** Drops facts that need not be told any more. */
-    public void removeIf(java.util.function.Predicate<T> useless) {
+    public void removeIf(Predicate<T> useless) {
         Iterator<T> i = mTimesSent.keySet().iterator();
         while (i.hasNext()) {
             if (useless.test(i.next())) {
