Call what is there instead of saying it again, and drop what can be derived

The note on terms named the time of day; they are told by the store's clock. Ruled out: one class for the rows of warnings and of refusals (one overwrites, the other compares and sets; they share the key and the log line now); sharing the fading counts of SpillShare and ComeBack (alike in shape, another rule each). Before and after: no change of behaviour, no test touched. Left: an unfinished read of the targets' list empties the counts of unusable rows until the next whole one; a trial whose target had gone before it was sent counts as failed.

--- a/forkseam-core/src/main/java/org/forkseam/core/crash/QuarantineTerm.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/crash/QuarantineTerm.java
@@ -10,8 +10,8 @@
  * only beside the crashes is served again one day, and one that is the cause ends one target a
  * term.
  *
- * @param untilMillis time of day up to which no target gets it, milliseconds since the epoch; 0 if
- *     it was released
+ * @param untilMillis up to when no target gets it, by the clock of the store that all routers
+ *     share; 0 if it was released
  * @param termMillis length of this term
  * @param trier name of the router's host that may try the request meanwhile; empty if none may
  * @since 0.5
--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -21,6 +21,7 @@
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final long mHash;
+    private final TargetStart mStart;
     private final int mShortHash;
     private final TargetHealth mHealth = new TargetHealth();
     private final ErrorRate mErrors = new ErrorRate();
@@ -40,7 +41,8 @@
     private Target(TargetEntry entry) {
         mEntry = entry;
         mHash = Hashes.of(entry.id());
-        mShortHash = entry.start().shortHash();
+        mStart = entry.start();
+        mShortHash = mStart.shortHash();
     }
 
     /** Creates the state of a target that was not known before. */
@@ -62,6 +64,11 @@
         return mEntry;
     }
 
+    /** Returns which start of the target this is the state of. */
+    public TargetStart start() {
+        return mStart;
+    }
+
     /** Takes a newer entry of the same start of the target. */
     public void update(TargetEntry entry, long nowMillis) {
         boolean wasCold = mEntry.coldMillis() > 0;
--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
@@ -101,7 +101,7 @@
 
     private Optional<TargetChange> take(TargetEntry e, long now) {
         Target known = mById.get(e.id());
-        if (known == null || !known.entry().start().equals(e.start())) {
+        if (known == null || !known.start().equals(e.start())) {
             return Optional.of(join(e, known, now));
         }
         boolean nowLeaving = e.leaving() && !known.entry().leaving();
@@ -122,7 +122,7 @@
             before.markGone(); // requests that wait for a connection to it are placed anew
         }
         boolean restarted =
-                before != null || left != null && !left.target().entry().start().equals(e.start());
+                before != null || left != null && !left.target().start().equals(e.start());
         return new TargetChange(
                 e, restarted ? TargetChange.Kind.RESTARTED : TargetChange.Kind.JOINED);
     }
@@ -189,7 +189,7 @@
 
     /** Finds a target that still answers other targets, unless that start of it is over. */
     public Optional<Target> findReachable(TargetStart start, long nowMillis) {
-        return findReachable(start.id(), nowMillis).filter(t -> t.entry().start().equals(start));
+        return findReachable(start.id(), nowMillis).filter(t -> t.start().equals(start));
     }
 
     /** Returns the revision of the newest list taken, or -1. */
--- a/forkseam-core/src/main/java/org/forkseam/core/route/HolderMemory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/HolderMemory.java
@@ -61,7 +61,7 @@
             long nowMillis) {
         BoundedMap<TargetStart, Long> holders = mByKey.get(key);
         if (holders != null) {
-            Long at = holders.get(chosen.entry().start());
+            Long at = holders.get(chosen.start());
             if (at != null && nowMillis - at < KEPT_MILLIS) {
                 return Optional.empty();
             }
--- a/forkseam-core/src/main/java/org/forkseam/core/share/FactExchange.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/share/FactExchange.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
@@ -82,11 +81,6 @@
 
     /** Drops facts that need not be told any more. */
     public void removeIf(Predicate<T> useless) {
-        Iterator<T> i = mTimesSent.keySet().iterator();
-        while (i.hasNext()) {
-            if (useless.test(i.next())) {
-                i.remove();
-            }
-        }
+        mTimesSent.keySet().removeIf(useless);
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CrashWatch.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CrashWatch.java
@@ -58,11 +58,11 @@
             then.run();
             return;
         }
-        Look look = mLooks.get(t.entry().start());
+        Look look = mLooks.get(t.start());
         boolean isNew = look == null;
         if (isNew) {
             look = new Look(t);
-            mLooks.put(t.entry().start(), look);
+            mLooks.put(t.start(), look);
         }
         look.mContents.add(content);
         boolean decides = mQuarantine.isLastCrashAllowed(content);
@@ -114,7 +114,7 @@
         }
 
         private void finish() {
-            mLooks.remove(mTarget.entry().start());
+            mLooks.remove(mTarget.start());
             mThen.forEach(Runnable::run);
         }
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/QuarantineCheck.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/QuarantineCheck.java
@@ -2,8 +2,6 @@
 
 import org.forkseam.direct.know.Quarantine;
 
-import java.util.function.Consumer;
-
 /**
  * Keeps one request from targets if targets have ended under what it asks for. Asked before each
  * attempt and again right before sending: the news may come while a connection opens. Used on the
@@ -30,15 +28,15 @@
         return !mAsked && mQuarantine.verdict(mContent) == Quarantine.Verdict.TRY;
     }
 
-    /** Asks for that. */
-    void ask(Consumer<Boolean> granted) {
+    /** Asks for that, and runs a task once it is known. */
+    void ask(Runnable then) {
         mAsked = true;
         mQuarantine
                 .askToTry(mContent)
                 .thenAccept(
-                        g -> {
-                            mTrial = g;
-                            granted.accept(g);
+                        granted -> {
+                            mTrial = granted;
+                            then.run();
                         });
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -167,7 +167,7 @@
             return;
         }
         mQuarantine.ask(
-                granted -> {
+                () -> {
                     if (!mDone) {
                         attempt();
                     }
@@ -209,8 +209,14 @@
         end.teach(a.target(), mContext.errors(mPool), now);
         mQuarantine.onAttemptEnd(end.kind() == AttemptEnd.Kind.ANSWERED);
         rememberLastId(a);
+        if (end.kind() == AttemptEnd.Kind.ANSWERED) {
+            if (!mDone) {
+                finishAnswered(a);
+            }
+            return;
+        }
+        mTally.onFailed(end.kind().mayHaveRun());
         if (end.kind() == AttemptEnd.Kind.BROKEN) {
-            mTally.onFailed(true); // also if the deadline passes during the look at the target
             mContext.crashes()
                     .onBroken(a.target(), mContent, a.answeringMillis(now), () -> goOn(a, end));
             return;
@@ -218,17 +224,12 @@
         goOn(a, end);
     }
 
-    /** Decides what follows an attempt that has ended. */
+    /** Decides what follows an attempt that brought no answer. */
     private void goOn(Attempt a, AttemptEnd end) {
         if (mDone) {
             return;
         }
-        if (end.kind() == AttemptEnd.Kind.ANSWERED) {
-            finishAnswered(a);
-            return;
-        }
         mRecord.onAttemptEnd(a, end, mTally.sent());
-        mTally.onFailed(end.kind().mayHaveRun());
         if (mayTryAgain(end, mContext.now())) {
             attempt();
             return;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -255,7 +255,7 @@
     private void tidy(long now) {
         Set<TargetStart> known = new HashSet<>();
         for (Target t : mKnowledge.targets().all()) {
-            known.add(t.entry().start());
+            known.add(t.start());
             mContext.targets().limit(t, mKnowledge.config().pool(t.entry().pool()), routers());
         }
         mContext.targets().tidy(known);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Targets.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Targets.java
@@ -33,7 +33,7 @@
     /** Returns the connections to a target. */
     ConnectionPool pool(Target t) {
         return mPools.computeIfAbsent(
-                t.entry().start(), s -> ConnectionPool.of(mConnector, mClock, t.entry().address()));
+                t.start(), s -> ConnectionPool.of(mConnector, mClock, t.entry().address()));
     }
 
     /** Sets each target's limit to this router's share of what the target takes. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/CrashWarnings.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/CrashWarnings.java
@@ -2,7 +2,6 @@
 
 import org.forkseam.core.crash.CrashFact;
 import org.forkseam.core.util.BoundedMap;
-import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.SharedRow;
 import org.forkseam.direct.spi.SharedRows;
@@ -10,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
 
@@ -22,8 +22,7 @@
  * beside two of them.
  */
 final class CrashWarnings {
-    /** Names the rows; the content's hash follows. */
-    private static final String ROW = "suspect/";
+    private static final ContentKey ROW = new ContentKey("suspect/");
 
     /** Rows written at most, some 80 bytes each; beyond, messages between routers must do. */
     private static final int MAX_ROWS = 256;
@@ -48,29 +47,32 @@
         }
         StringBuilder value = new StringBuilder(Long.toString(now.getAsLong()));
         crashes.forEach(f -> value.append(',').append(Integer.toHexString(f.crash())));
-        String key = ROW + Hashes.text(content);
-        mRows.put(key, value.toString()).exceptionally(e -> logFailure(key, e));
+        String key = ROW.of(content);
+        mRows.put(key, value.toString()).exceptionally(e -> RowFollower.logNotWritten(key, e));
     }
 
     /** Takes in a row that changed, and returns what it tells; nothing if it is another's. */
     List<CrashFact> take(SharedRow row) {
-        if (!row.key().startsWith(ROW)) {
+        if (!ROW.isOf(row.key())) {
             return List.of();
         }
         if (row.revision() == 0) {
             mWrittenAt.remove(row.key());
             return List.of();
         }
+        Optional<Long> content = ROW.content(row.key());
         try {
-            return read(row);
+            if (content.isPresent()) {
+                return read(row, content.get());
+            }
         } catch (NumberFormatException e) {
-            Event.of("suspect_row_malformed").with("row", row.key()).log();
-            return List.of();
+            // a number in the value; logged as the key's is
         }
+        Event.of("suspect_row_malformed").with("row", row.key()).log();
+        return List.of();
     }
 
-    private List<CrashFact> read(SharedRow row) {
-        long content = Long.parseUnsignedLong(row.key().substring(ROW.length()), 16);
+    private List<CrashFact> read(SharedRow row, long content) {
         String[] fields = row.value().split(",");
         List<CrashFact> crashes = new ArrayList<>();
         for (int i = 1; i < fields.length; i++) {
@@ -89,13 +91,9 @@
         for (Map.Entry<String, Long> e : List.copyOf(mWrittenAt.entrySet())) {
             if (now - e.getValue() >= KEPT_MILLIS) {
                 mWrittenAt.remove(e.getKey());
-                mRows.remove(e.getKey()).exceptionally(x -> logFailure(e.getKey(), x));
+                mRows.remove(e.getKey())
+                        .exceptionally(x -> RowFollower.logNotWritten(e.getKey(), x));
             }
         }
     }
-
-    private static Void logFailure(String key, Throwable e) {
-        Event.of("shared_row_not_written").with("row", key).with("cause", e.getMessage()).log();
-        return null;
-    }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Learned.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Learned.java
@@ -41,7 +41,7 @@
      * @param known whether all routers take that for granted
      */
     void onAnswered(long key, Target t, boolean known) {
-        boolean news = mHolders.onAnswered(key, t.entry().start(), mClock.nowMillis());
+        boolean news = mHolders.onAnswered(key, t.start(), mClock.nowMillis());
         if (news && !known) {
             mHolderNews.add(new HolderFact(key, t.shortHash()));
         }
@@ -67,7 +67,7 @@
     }
 
     private void takeHolder(HolderFact f, Target t) {
-        if (mHolders.onAnswered(f.key(), t.entry().start(), mClock.nowMillis())) {
+        if (mHolders.onAnswered(f.key(), t.start(), mClock.nowMillis())) {
             mHolderNews.add(f);
         }
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/QuarantineRows.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/QuarantineRows.java
@@ -20,8 +20,7 @@
  * loop.
  */
 final class QuarantineRows {
-    /** Names the rows; the content's hash follows. */
-    private static final String ROW = "quarantine/";
+    private static final ContentKey ROW = new ContentKey("quarantine/");
 
     /**
      * Rows written at most, some 120 bytes each, so that a flood of different requests fills
@@ -74,10 +73,10 @@
 
     /** Takes in a row that changed; empty if it is none of a refused request, or malformed. */
     Optional<Change> take(SharedRow row) {
-        if (!row.key().startsWith(ROW)) {
+        if (!ROW.isOf(row.key())) {
             return Optional.empty();
         }
-        Optional<Long> content = content(row.key());
+        Optional<Long> content = ROW.content(row.key());
         Optional<QuarantineTerm> term = QuarantineTerm.read(row.value());
         if (content.isEmpty() || row.revision() > 0 && term.isEmpty()) {
             Event.of("quarantine_row_malformed").with("row", row.key()).log();
@@ -91,18 +90,6 @@
         return Optional.of(new Change(content.get(), term));
     }
 
-    private static Optional<Long> content(String key) {
-        try {
-            return Optional.of(Long.parseUnsignedLong(key.substring(ROW.length()), 16));
-        } catch (NumberFormatException e) {
-            return Optional.empty(); // the caller logs the row
-        }
-    }
-
-    private static String key(long content) {
-        return ROW + Hashes.text(content);
-    }
-
     // ---------------------------------------------------------------- writing
 
     /**
@@ -117,7 +104,7 @@
         }
         makeRoom(content);
         long revision = Optional.ofNullable(mKnown.get(content)).map(Row::revision).orElse(0L);
-        return mRows.compareAndSet(key(content), term.write(), revision)
+        return mRows.compareAndSet(ROW.of(content), term.write(), revision)
                 .whenComplete((row, failure) -> mWriting.remove(content))
                 .whenComplete((row, failure) -> logFailure(content, failure))
                 .thenApply(row -> takeWritten(row, row.value().equals(term.write())));
@@ -141,7 +128,8 @@
 
     private void remove(long content) {
         mKnown.remove(content);
-        mRows.remove(key(content)).whenComplete((done, failure) -> logFailure(content, failure));
+        mRows.remove(ROW.of(content))
+                .exceptionally(e -> RowFollower.logNotWritten(ROW.of(content), e));
     }
 
     /** Removes the rows that nobody has asked for in a whole term. */
@@ -155,10 +143,7 @@
 
     private static void logFailure(long content, Throwable failure) {
         if (failure != null) {
-            Event.of("shared_row_not_written")
-                    .with("row", key(content))
-                    .with("cause", failure.getMessage())
-                    .log();
+            RowFollower.logNotWritten(ROW.of(content), failure);
         }
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
@@ -103,7 +103,7 @@
     @Override
     void stop() {
         super.stop();
-        mRows.remove(ownKey()).exceptionally(e -> logFailure("unregister", e));
+        mRows.remove(ownKey()).exceptionally(e -> logNotWritten("unregister", e));
     }
 
     private String ownKey() {
@@ -117,7 +117,7 @@
         }
         SharedRow own = mKnown.get(ownKey());
         if (own == null || !own.value().equals(link().address())) {
-            mRows.put(ownKey(), link().address()).exceptionally(e -> logFailure("register", e));
+            mRows.put(ownKey(), link().address()).exceptionally(e -> logNotWritten("register", e));
         }
     }
 
@@ -179,8 +179,9 @@
         }
     }
 
-    private Void logFailure(String what, Throwable e) {
-        Event.of("shared_row_not_written").with("row", what).with("cause", e.getMessage()).log();
+    /** Logs that a row could not be written, and stands in for the write's result. */
+    static Void logNotWritten(String row, Throwable e) {
+        Event.of("shared_row_not_written").with("row", row).with("cause", e.getMessage()).log();
         return null;
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
@@ -264,12 +264,8 @@
                             if (failure == null) {
                                 mFollower.onWritten(row);
                             } else {
-                                logFailure(failure);
+                                RowFollower.logNotWritten("seats", failure);
                             }
                         });
     }
-
-    private static void logFailure(Throwable e) {
-        Event.of("shared_row_not_written").with("row", "seats").with("cause", e.getMessage()).log();
-    }
 }
