Log what targets say of themselves in their answers

Cause: lines could not tell whether a router gets a leaving target's word and ignores it, or takes it in and loses it. Now the head's word is decoded, logged once a start of a target with whether it still gets work, and counted (target_words in the dump). No behaviour changes: placement does not ask it.

--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -34,6 +34,7 @@
     private long mBusySince;
     private long mFullUntil;
     private boolean mGone;
+    private boolean mSaysLeaving;
     private boolean mEvacuated;
     private long mReturnedAt = NEVER;
     private long mColdUntil = NEVER;
@@ -90,6 +91,13 @@
         mGone = true;
     }
 
+    /** Notes that an answer says that it leaves; returns whether that was not known. */
+    public boolean noteSaysLeaving() {
+        boolean news = !mSaysLeaving;
+        mSaysLeaving = true;
+        return news;
+    }
+
     /** Notes whether operators have asked to send nothing to its failure domain. */
     public void setEvacuated(boolean evacuated, long nowMillis) {
         if (mEvacuated && !evacuated) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -197,6 +197,7 @@
         mHeadAt = mContext.now();
         mHead = head;
         mDecoded = mContext.protocol().decode(head);
+        mContext.knowledge().words().onAnswer(mTarget, mDecoded.word());
         mDecoded.load().ifPresent(l -> mTarget.onLoad(l, mContext.now()));
         mDecoded.keepMillis().ifPresent(k -> mConnection.keepAtMost(k - keepMargin(k)));
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -51,6 +51,7 @@
     private final Seats mSeats;
     private final Quarantine mQuarantine;
     private final Learned mLearned;
+    private final TargetWords mWords = new TargetWords();
     private long mEvacuationChanges;
     private boolean mAsking;
     private boolean mStopped;
@@ -169,6 +170,7 @@
         m.put("list_age_ms", now - mTargets.confirmedAt());
         m.put("targets", targets().all().size());
         m.put("unusable_entries", mUnusable.get());
+        m.put("target_words", mWords.counts());
         m.put("routers", mLink.routers());
         m.put("seats", mSeats.dump());
         m.put("quarantine", mQuarantine.dump());
@@ -216,6 +218,11 @@
         return mQuarantine;
     }
 
+    /** Returns what takes in what targets say of themselves in their answers. */
+    public TargetWords words() {
+        return mWords;
+    }
+
     /** Returns which targets have answered which keys. */
     public HolderMemory holders() {
         return mLearned.holders();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/spi/AnswerHead.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/spi/AnswerHead.java
@@ -1,5 +1,7 @@
 package org.forkseam.direct.spi;
 
+import org.forkseam.core.member.TargetWord;
+
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -12,6 +14,7 @@
  * @param wrongTarget whether another target than the one expected lives at the address
  * @param load requests the target runs and holds waiting
  * @param keepMillis how long the target keeps the connection when idle
+ * @param word what the target says of whether it wants further requests
  * @since 0.2
  */
 public record AnswerHead(
@@ -19,4 +22,5 @@
         boolean notRun,
         boolean wrongTarget,
         OptionalInt load,
-        OptionalLong keepMillis) {}
+        OptionalLong keepMillis,
+        TargetWord word) {}
