Keep what a target says of itself for as long as its start lasts, and send it no work against it

Cause: a target's word that it leaves in an answer's head was read by nothing; routers knew of leaving targets by rows alone, which do not change while the store is away. Class: one fact told by several ways, of which one was followed. Behind it a second fault: what was learned of a target ended with its row, though the same start came back. Ruled out: requests placed before the word and sent late (7 ms from caller to target); the word read and lost (target_word with takes_work true at the first answer). Mend: Availability, one typed state a start, changed by words alone; Target holds it, placement and the moment of sending ask it, the directory keeps a target whose row has gone for a return of the same start. Leaving is told to other routers with what they learned (4 bytes a start, format 3 of datagrams, 2 bytes more a message: the sizes in PeerCodecTest grow by 2). A target's Retry-After on 503 and 429 holds off for so long. A request withdrawn at the moment of sending no longer counts against its target's health.

--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -33,14 +33,14 @@
     private long mHeardAt;
     private long mBusySince;
     private long mFullUntil;
-    private boolean mGone;
-    private boolean mSaysLeaving;
+    private Availability mAvailability;
     private boolean mEvacuated;
     private long mReturnedAt = NEVER;
     private long mColdUntil = NEVER;
 
     private Target(TargetEntry entry) {
         mEntry = entry;
+        mAvailability = Availability.LISTED.withRowLeaving(entry.leaving());
         mHash = Hashes.of(entry.id());
         mStart = entry.start();
         mShortHash = mStart.shortHash();
@@ -76,6 +76,7 @@
         boolean longer = entry.coldMillis() > mEntry.coldMillis();
         boolean ended = wasCold && entry.coldMillis() == 0;
         mEntry = entry;
+        mAvailability = mAvailability.withRowLeaving(entry.leaving());
         if (longer || ended) {
             noteCold(nowMillis);
         }
@@ -86,16 +87,37 @@
         mColdUntil = mEntry.coldMillis() > 0 ? nowMillis + mEntry.coldMillis() : NEVER;
     }
 
-    /** Marks it as gone: it gets no new work any more. */
-    public void markGone() {
-        mGone = true;
+    /** Takes in that the newest list does not hold it: it gets no new work. */
+    void onUnlisted() {
+        mAvailability = mAvailability.withListed(false);
     }
 
-    /** Notes that an answer says that it leaves; returns whether that was not known. */
-    public boolean noteSaysLeaving() {
-        boolean news = !mSaysLeaving;
-        mSaysLeaving = true;
-        return news;
+    /** Takes in that a list holds it again, as the same start. */
+    void onListedAgain(TargetEntry entry, long nowMillis) {
+        update(entry, nowMillis);
+        noteCold(nowMillis);
+        mAvailability = mAvailability.withListed(true);
+    }
+
+    /** Notes that it says that it leaves; returns whether that was not known. */
+    public boolean onSaysLeaving() {
+        return become(mAvailability.withSaysLeaving(), 0);
+    }
+
+    /** Notes that another target lives at its address; returns whether that was not known. */
+    public boolean onReplaced() {
+        return become(mAvailability.withReplaced(), 0);
+    }
+
+    /** Notes that it wants nothing more for a while; returns whether it took work until now. */
+    public boolean onHoldOff(long millis, long nowMillis) {
+        return become(mAvailability.withHoldOffUntil(nowMillis + millis), nowMillis);
+    }
+
+    private boolean become(Availability next, long nowMillis) {
+        boolean changed = next.state(nowMillis) != mAvailability.state(nowMillis);
+        mAvailability = next;
+        return changed;
     }
 
     /** Notes whether operators have asked to send nothing to its failure domain. */
@@ -111,14 +133,24 @@
         return mEvacuated;
     }
 
-    /** Returns whether it stays in its pool as far as its entry says. */
+    /** Returns whether it wants new work, by what it and the list say. */
+    public Availability availability() {
+        return mAvailability;
+    }
+
+    /** Returns whether it stays in its pool as far as it and the list say. */
     public boolean stays() {
-        return !mGone && !mEntry.leaving();
+        return mAvailability.stays();
+    }
+
+    /** Returns whether it may get new work: it wants some, and its domain is not evacuated. */
+    public boolean takesWork(long nowMillis) {
+        return !mEvacuated && mAvailability.state(nowMillis) == Availability.State.AVAILABLE;
     }
 
-    /** Returns whether it may get new work: it stays, and its domain is not evacuated. */
-    public boolean takesWork() {
-        return stays() && !mEvacuated;
+    /** Returns whether it stays, and may not get new work for now. */
+    public boolean rests(long nowMillis) {
+        return stays() && !takesWork(nowMillis);
     }
 
     /** Returns the hash of its id. */
--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
@@ -35,12 +35,20 @@
     /** A target that left without a word serves on for about so long. Origin: the operators. */
     private static final long LINGER_MILLIS = 2_000;
 
-    private static final int MAX_LINGERING = 64;
+    /**
+     * Targets kept after their rows have gone, so that what was learned of them holds if the rows
+     * come back: twice as many as the largest fleet aimed at has.
+     */
+    private static final int MAX_UNLISTED = 2_048;
+
+    /** Starts told to be leaving that no list has held yet. A target may be told of early. */
+    private static final int MAX_TOLD = 256;
 
     private final Map<String, Target> mById = new HashMap<>();
     private final Map<String, List<Target>> mByPool = new HashMap<>();
     private final Map<Integer, Target> mByShortHash = new HashMap<>();
-    private final BoundedMap<String, Lingering> mLingering = BoundedMap.byInsertion(MAX_LINGERING);
+    private final BoundedMap<String, Unlisted> mUnlisted = BoundedMap.byInsertion(MAX_UNLISTED);
+    private final BoundedMap<Integer, Boolean> mToldLeaving = BoundedMap.byInsertion(MAX_TOLD);
     private Set<String> mEvacuated = Set.of();
     private boolean mKeepsMissing;
     private long mRevision = -1;
@@ -112,17 +120,26 @@
                 : Optional.empty();
     }
 
-    /** Takes in a target that is new, or has started again: nothing of before holds for it. */
+    /**
+     * Takes in a target that is new, has started again, or is listed again. Nothing of before holds
+     * for a new start; all of it for the same one, whose row has only lapsed.
+     */
     private TargetChange join(TargetEntry e, Target before, long now) {
-        Target joined = Target.of(e, now);
+        Unlisted left = mUnlisted.remove(e.id());
+        boolean known = left != null && left.target().start().equals(e.start());
+        Target joined = known ? left.target() : Target.of(e, now);
+        if (known) {
+            joined.onListedAgain(e, now);
+        }
+        if (mToldLeaving.remove(joined.shortHash()) != null) {
+            joined.onSaysLeaving();
+        }
         markEvacuated(joined, now);
         mById.put(e.id(), joined);
-        Lingering left = mLingering.remove(e.id());
         if (before != null) {
-            before.markGone(); // requests that wait for a connection to it are placed anew
+            before.onUnlisted(); // requests that wait for a connection to it are placed anew
         }
-        boolean restarted =
-                before != null || left != null && !left.target().start().equals(e.start());
+        boolean restarted = before != null || left != null && !known;
         return new TargetChange(
                 e, restarted ? TargetChange.Kind.RESTARTED : TargetChange.Kind.JOINED);
     }
@@ -133,15 +150,28 @@
             if (listed.containsKey(t.entry().id())) {
                 continue;
             }
-            t.markGone();
-            if (!t.entry().leaving()) {
-                mLingering.put(t.entry().id(), new Lingering(t, now));
-            }
+            t.onUnlisted();
+            mUnlisted.put(t.entry().id(), new Unlisted(t, now));
             mById.remove(t.entry().id());
             changes.add(new TargetChange(t.entry(), TargetChange.Kind.GONE));
         }
     }
 
+    /**
+     * Takes in another router's word that a start of a target leaves; one that is not listed yet is
+     * remembered.
+     *
+     * @return the target, if that was not known of it
+     */
+    public Optional<Target> onToldLeaving(int shortHash) {
+        Target t = mByShortHash.get(shortHash);
+        if (t == null) {
+            mToldLeaving.put(shortHash, true);
+            return Optional.empty();
+        }
+        return t.onSaysLeaving() ? Optional.of(t) : Optional.empty();
+    }
+
     private void index() {
         mByPool.clear();
         mByShortHash.clear();
@@ -180,11 +210,13 @@
         if (listed != null) {
             return Optional.of(listed);
         }
-        Lingering l = mLingering.get(id);
-        boolean recent = l != null && nowMillis - l.goneAt() < LINGER_MILLIS;
-        return recent && l.target().heardWithin(LINGER_MILLIS, nowMillis)
-                ? Optional.of(l.target())
-                : Optional.empty();
+        Unlisted u = mUnlisted.get(id);
+        if (u == null || nowMillis - u.since() >= LINGER_MILLIS) {
+            return Optional.empty();
+        }
+        Target t = u.target();
+        boolean answers = t.heardWithin(LINGER_MILLIS, nowMillis);
+        return answers && !t.availability().isLeaving() ? Optional.of(t) : Optional.empty();
     }
 
     /** Finds a target that still answers other targets, unless that start of it is over. */
@@ -198,5 +230,5 @@
     }
 
     /** Holds a target that is not listed any more. */
-    private record Lingering(Target target, long goneAt) {}
+    private record Unlisted(Target target, long since) {}
 }
--- a/forkseam-core/src/main/java/org/forkseam/core/route/CandidateFilter.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/CandidateFilter.java
@@ -10,7 +10,7 @@
 /**
  * Leaves out the targets that cannot or should not take a request.
  *
- * <p>Targets that are leaving or were tried already are left out always. Those that seem sick are
+ * <p>Targets that take no work or were tried already are left out always. Those that seem sick are
  * left out only while most of the pool seems well: when most seem sick, the view is more likely
  * wrong than the pool, and all are used.
  *
@@ -41,7 +41,7 @@
         List<Target> usable = new ArrayList<>(pool.size());
         List<Target> healthy = new ArrayList<>(pool.size());
         for (Target t : pool) {
-            if (!t.takesWork() || tried.contains(t.entry().id())) {
+            if (!t.takesWork(nowMillis) || tried.contains(t.entry().id())) {
                 continue;
             }
             usable.add(t);
--- a/forkseam-core/src/test/java/org/forkseam/core/member/TargetDirectoryTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/member/TargetDirectoryTest.java
@@ -9,6 +9,8 @@
 
 /** Tests what is believed of targets by the lists read. */
 class TargetDirectoryTest {
+    private static final long NOW = 20;
+
     private final TargetDirectory mDirectory = TargetDirectory.create();
 
     private static TargetEntry entry(String id, boolean leaving) {
@@ -16,7 +18,7 @@
     }
 
     private boolean takesWork(String id) {
-        return mDirectory.find(id).map(Target::takesWork).orElse(false);
+        return mDirectory.find(id).map(t -> t.takesWork(NOW)).orElse(false);
     }
 
     @Test
@@ -32,7 +34,7 @@
         Target a = mDirectory.find("a").orElseThrow();
         mDirectory.apply(2, List.of(), 10);
         assertThat(takesWork("a")).isFalse();
-        assertThat(a.takesWork()).isFalse();
+        assertThat(a.takesWork(NOW)).isFalse();
     }
 
     @Test
@@ -118,17 +120,17 @@
         before.onLoad(40, 10);
         before.onRefused(10);
         before.health().onFailure(10);
-        before.markGone();
+        before.onReplaced();
         List<TargetChange> changes = mDirectory.apply(2, List.of(born("a", 6_000)), 20);
         assertThat(changes)
                 .containsExactly(new TargetChange(born("a", 6_000), TargetChange.Kind.RESTARTED));
         assertThat(a()).isNotSameInstanceAs(before);
-        assertThat(a().takesWork()).isTrue();
+        assertThat(a().takesWork(NOW)).isTrue();
         assertThat(a().inFlight()).isEqualTo(0);
         assertThat(a().readingAgeMillis(20)).isEqualTo(-1);
         assertThat(a().isFull(20)).isFalse();
         assertThat(a().health().share(20)).isEqualTo(1.0);
-        assertThat(before.takesWork()).isFalse();
+        assertThat(before.takesWork(NOW)).isFalse();
     }
 
     /** The time of day of a host may have stepped back: the newer list decides. */
@@ -169,6 +171,6 @@
         mDirectory.setEvacuated(Set.of("z"), 0);
         mDirectory.apply(1, List.of(born("a", 5_000)), 0);
         mDirectory.apply(2, List.of(born("a", 6_000)), 10);
-        assertThat(a().takesWork()).isFalse();
+        assertThat(a().takesWork(NOW)).isFalse();
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/StoreMeters.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/StoreMeters.java
@@ -6,6 +6,7 @@
 import io.micrometer.core.instrument.binder.MeterBinder;
 
 import org.forkseam.direct.know.Knowledge;
+import org.forkseam.direct.know.TargetWords;
 
 /**
  * Counts what a router asks of the store and learns from it. Calls are counted by kind, as each has
@@ -38,6 +39,12 @@
         Gauge.builder("forkseam.entries.unusable", mKnowledge, Knowledge::unusableEntries)
                 .description("rows among the targets' that name none")
                 .register(registry);
+        for (TargetWords.Word word : TargetWords.Word.values()) {
+            FunctionCounter.builder("forkseam.target.words", mKnowledge, k -> k.words().heard(word))
+                    .description("what targets said of themselves, by way")
+                    .tag("word", TargetWords.name(word))
+                    .register(registry);
+        }
         Gauge.builder("forkseam.evacuations", mKnowledge, k -> k.evacuated().size())
                 .register(registry);
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/admin/OperatorPages.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/admin/OperatorPages.java
@@ -137,6 +137,7 @@
         m.put("capacity", t.entry().slots());
         m.put("health", t.health().share(now));
         m.put("leaving", !t.stays());
+        m.put("state", t.availability().state(now));
         m.put("evacuated", t.isEvacuated());
         m.put("labels", Map.of("pool", t.entry().pool(), "failure_domain", t.entry().domain()));
         return m;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -161,20 +161,28 @@
             cancel();
             return;
         }
-        if (!mTarget.takesWork() || !mConnection.isUsable()) {
-            mConnection.giveBack();
-            end(AttemptEnd.of(AttemptEnd.Kind.UNREACHABLE, "left meanwhile"));
+        long now = mContext.now();
+        if (!mConnection.isUsable()) {
+            giveUp(AttemptEnd.Kind.UNREACHABLE, "closed meanwhile");
+            return;
+        }
+        if (!mTarget.takesWork(now)) {
+            giveUp(AttemptEnd.Kind.WITHDRAWN, "the target takes no work any more");
             return;
         }
         if (!mListener.maySend()) {
-            mConnection.giveBack();
-            end(AttemptEnd.of(AttemptEnd.Kind.UNREACHABLE, "refused meanwhile"));
+            giveUp(AttemptEnd.Kind.WITHDRAWN, "the request may not be sent any more");
             return;
         }
-        mSentAt = mContext.now();
+        mSentAt = now;
         mConnection.send(mRequest.get(), this::belongs, this);
     }
 
+    private void giveUp(AttemptEnd.Kind kind, String why) {
+        mConnection.giveBack();
+        end(AttemptEnd.of(kind, why));
+    }
+
     @Override
     public void onNone(BreakKind kind, String detail) {
         end(AttemptEnd.of(kind, detail));
@@ -197,7 +205,7 @@
         mHeadAt = mContext.now();
         mHead = head;
         mDecoded = mContext.protocol().decode(head);
-        mContext.knowledge().words().onAnswer(mTarget, mDecoded.word());
+        mContext.knowledge().words().onAnswer(mTarget, mDecoded);
         mDecoded.load().ifPresent(l -> mTarget.onLoad(l, mContext.now()));
         mDecoded.keepMillis().ifPresent(k -> mConnection.keepAtMost(k - keepMargin(k)));
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptEnd.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptEnd.java
@@ -19,6 +19,8 @@
         UNREACHABLE(false),
         /** No byte was sent: this router has its share of the target's connections in use. */
         NO_CONNECTION(false),
+        /** No byte was sent: what had been chosen was not to be done any more. */
+        WITHDRAWN(false),
         /** The target says that it has not run the request. */
         REFUSED(false),
         /** Another target lives at the address; it has not run the request. */
@@ -43,6 +45,11 @@
             return mMayHaveRun;
         }
 
+        /** Returns whether no byte of the request was sent. */
+        boolean isUnsent() {
+            return this == UNREACHABLE || this == NO_CONNECTION || this == WITHDRAWN;
+        }
+
         /** Returns whether it speaks against the target's health. */
         boolean isFault() {
             return this == UNREACHABLE
@@ -70,7 +77,6 @@
                     t.health().onFailure(nowMillis);
                 }
             }
-            case WRONG_TARGET -> t.markGone();
             case REFUSED -> t.onRefused(nowMillis);
             default -> {
                 if (kind.isFault()) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptTally.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptTally.java
@@ -10,11 +10,11 @@
  * the pool's budget all repeats. Used on the event loop.
  */
 final class AttemptTally {
-    /** Targets that were not reachable, after which a request is refused. */
-    private static final int MAX_UNREACHABLE = 4;
+    /** Targets chosen in vain, without a byte sent, after which a request is refused. */
+    private static final int MAX_UNSENT = 4;
 
     private int mSent;
-    private int mUnreachable;
+    private int mUnsent;
     private boolean mMayHaveRun;
 
     /** Returns to how many targets the request was sent. */
@@ -48,9 +48,8 @@
      * @param budget takes a repeat from the pool's budget, if there is one left
      */
     boolean allowsAnother(AttemptEnd end, Route route, boolean tooLate, BooleanSupplier budget) {
-        if (end.kind() == AttemptEnd.Kind.UNREACHABLE
-                || end.kind() == AttemptEnd.Kind.NO_CONNECTION) {
-            return ++mUnreachable < MAX_UNREACHABLE;
+        if (end.kind().isUnsent()) {
+            return ++mUnsent < MAX_UNSENT;
         }
         if (mMayHaveRun && !route.kind().isRepeatable()) {
             return false;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/FinalAnswer.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/FinalAnswer.java
@@ -60,6 +60,13 @@
                 mContext.answers().notRun(mRequest.id(), "not run: " + why, backInMillis));
     }
 
+    /** Refuses a request that has not run; coming back before is in vain. */
+    void refuseBefore(String why, long backInMillis) {
+        own(
+                "refused_" + why,
+                mContext.answers().notRunBefore(mRequest.id(), "not run: " + why, backInMillis));
+    }
+
     /** Refuses a request under which targets end; coming back before is in vain. */
     void refuseQuarantined(long backInMillis) {
         String why = "not run: targets have ended under this request";
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -15,6 +15,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 /**
  * Carries one request from its reading to its final answer. Used on the event loop.
@@ -359,8 +360,15 @@
     }
 
     private void giveUp(String why) {
-        if (!failIfBegun(why)) {
-            mFinal.refuse(why, mContext.comeBack(mPool).onRefused(mContext.now()));
+        if (failIfBegun(why)) {
+            return;
+        }
+        long backIn = mContext.comeBack(mPool).onRefused(mContext.now());
+        OptionalLong freeIn = mPlacement.freeAgainIn(mPool);
+        if (freeIn.isPresent()) {
+            mFinal.refuseBefore(why, freeIn.getAsLong());
+        } else {
+            mFinal.refuse(why, backIn);
         }
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
@@ -17,6 +17,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -63,7 +64,7 @@
                         .regions()
                         .allowed(mContext.knowledge().targets().pool(pool), route, team);
         List<Target> admitted = mContext.coldGate().admitted(all, cold, now);
-        int resting = all.size() - admitted.size() + evacuated(admitted);
+        int resting = all.size() - admitted.size() + resting(admitted, now);
         CandidateFilter.Candidates c = mContext.placing().filter().of(admitted, mTried, now);
         PickRequest request =
                 new PickRequest(
@@ -73,10 +74,10 @@
         return pick;
     }
 
-    private static int evacuated(List<Target> targets) {
+    private static int resting(List<Target> targets, long now) {
         int n = 0;
         for (Target t : targets) {
-            n += t.isEvacuated() && t.stays() ? 1 : 0;
+            n += t.rests(now) ? 1 : 0;
         }
         return n;
     }
@@ -93,12 +94,39 @@
 
     /** Says why there is no target that this request could be sent to. */
     String whyNone(TrafficConfig config, String pool) {
+        long now = mContext.now();
         List<Target> all = mContext.knowledge().targets().pool(pool);
         long coldMillis = coldStart(config, pool).millis();
-        if (all.stream().anyMatch(t -> t.takesWork() && t.isCold(coldMillis, mContext.now()))) {
+        if (all.stream().anyMatch(t -> t.takesWork(now) && t.isCold(coldMillis, now))) {
             return "cold";
         }
-        return all.stream().anyMatch(Target::isEvacuated) ? "evacuated" : "no_target";
+        if (all.stream().anyMatch(Target::isEvacuated)) {
+            return "evacuated";
+        }
+        if (freeAgainIn(pool).isPresent()) {
+            return "holding_off";
+        }
+        return all.stream().anyMatch(t -> t.availability().isLeaving()) ? "leaving" : "no_target";
+    }
+
+    /**
+     * Returns in how many milliseconds the first target of a pool wants work again; empty if one
+     * does now, or none is known to.
+     */
+    OptionalLong freeAgainIn(String pool) {
+        long now = mContext.now();
+        OptionalLong first = OptionalLong.empty();
+        for (Target t : mContext.knowledge().targets().pool(pool)) {
+            if (t.takesWork(now)) {
+                return OptionalLong.empty();
+            }
+            if (t.isEvacuated() || !t.stays()) {
+                continue;
+            }
+            long in = t.availability().holdOffUntil() - now;
+            first = OptionalLong.of(Math.min(in, first.orElse(Long.MAX_VALUE)));
+        }
+        return first;
     }
 
     private TargetPicker picker(TrafficConfig config, String pool) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -232,7 +232,8 @@
         m.put("in_flight", t.inFlight());
         m.put("others", t.othersInFlight(now));
         m.put("share", t.health().share(now));
-        m.put("takes_work", t.takesWork());
+        m.put("state", t.availability().state(now));
+        m.put("takes_work", t.takesWork(now));
         return m;
     }
 
@@ -254,11 +255,15 @@
 
     private void tidy(long now) {
         Set<TargetStart> known = new HashSet<>();
+        Set<TargetStart> leaving = new HashSet<>();
         for (Target t : mKnowledge.targets().all()) {
             known.add(t.start());
+            if (!t.stays()) {
+                leaving.add(t.start());
+            }
             mContext.targets().limit(t, mKnowledge.config().pool(t.entry().pool()), routers());
         }
-        mContext.targets().tidy(known);
+        mContext.targets().tidy(known, leaving);
         CallerLimits limits = mKnowledge.config().limits();
         List.copyOf(mContext.connections()).forEach(c -> c.closeIfStale(now, limits));
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Targets.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Targets.java
@@ -44,13 +44,16 @@
         }
     }
 
-    /** Closes connections that are idle for long, and those to targets that are not known. */
-    void tidy(Set<TargetStart> known) {
+    /**
+     * Closes connections that are idle for long, all idle ones to targets that leave, and those to
+     * targets that are not known.
+     */
+    void tidy(Set<TargetStart> known, Set<TargetStart> leaving) {
         Iterator<Map.Entry<TargetStart, ConnectionPool>> i = mPools.entrySet().iterator();
         while (i.hasNext()) {
             Map.Entry<TargetStart, ConnectionPool> e = i.next();
             if (known.contains(e.getKey())) {
-                e.getValue().closeIdle(MAX_IDLE_MILLIS);
+                e.getValue().closeIdle(leaving.contains(e.getKey()) ? 0 : MAX_IDLE_MILLIS);
             } else {
                 e.getValue().close();
                 i.remove();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -51,7 +51,7 @@
     private final Seats mSeats;
     private final Quarantine mQuarantine;
     private final Learned mLearned;
-    private final TargetWords mWords = new TargetWords();
+    private final TargetWords mWords;
     private long mEvacuationChanges;
     private boolean mAsking;
     private boolean mStopped;
@@ -102,7 +102,8 @@
         mRows = new RowFollower(around, sources.shared(), this::onRow);
         mSeats = new Seats(around, sources.shared(), mRows, mTargets.targets());
         mQuarantine = new Quarantine(around, sources.shared(), mRows);
-        mLearned = new Learned(clock, mTargets.targets(), mQuarantine);
+        mWords = new TargetWords(mTargets.targets(), clock);
+        mLearned = new Learned(clock, mTargets.targets(), mQuarantine, mWords);
     }
 
     /**
@@ -170,7 +171,7 @@
         m.put("list_age_ms", now - mTargets.confirmedAt());
         m.put("targets", targets().all().size());
         m.put("unusable_entries", mUnusable.get());
-        m.put("target_words", mWords.counts());
+        m.put("target_words", mWords.dump());
         m.put("routers", mLink.routers());
         m.put("seats", mSeats.dump());
         m.put("quarantine", mQuarantine.dump());
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Learned.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Learned.java
@@ -15,7 +15,7 @@
 
 /**
  * Holds what routers have learned from targets' answers, this one's own and others': their load,
- * which have read a prompt, and which ended under a request. Used on the event loop.
+ * which have read a prompt, which ended under a request, and which leave. Used on the event loop.
  */
 final class Learned {
     private final Clock mClock;
@@ -24,11 +24,13 @@
     private final FactExchange<HolderFact> mHolderNews =
             FactExchange.of(HolderFact.MAX_FACTS, f -> 0);
     private final Quarantine mQuarantine;
+    private final TargetWords mWords;
 
-    Learned(Clock clock, TargetDirectory targets, Quarantine quarantine) {
+    Learned(Clock clock, TargetDirectory targets, Quarantine quarantine, TargetWords words) {
         mClock = clock;
         mTargets = targets;
         mQuarantine = quarantine;
+        mWords = words;
     }
 
     HolderMemory holders() {
@@ -52,9 +54,10 @@
         List<LoadReading> loads = LoadExchange.digest(mTargets.all(), mClock.nowMillis());
         List<HolderFact> holders = mHolderNews.digest();
         List<CrashFact> crashes = mQuarantine.news();
-        return loads.isEmpty() && holders.isEmpty() && crashes.isEmpty()
+        List<Integer> leaving = mWords.news();
+        return loads.isEmpty() && holders.isEmpty() && crashes.isEmpty() && leaving.isEmpty()
                 ? Optional.empty()
-                : Optional.of(new PeerMessage.Learned(loads, holders, crashes));
+                : Optional.of(new PeerMessage.Learned(loads, holders, crashes, leaving));
     }
 
     /** Takes in what another router has learned. */
@@ -64,6 +67,7 @@
             mTargets.findByShortHash(f.target()).ifPresent(t -> takeHolder(f, t));
         }
         mQuarantine.take(l.crashes());
+        mWords.take(l.leaving());
     }
 
     private void takeHolder(HolderFact f, Target t) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
@@ -26,7 +26,7 @@
     static final int MAX_BYTES = 1_400;
 
     /** First byte of a datagram; another stands for another format. */
-    static final int FORMAT = 2;
+    static final int FORMAT = 3;
 
     // The numbers below these are the kinds of PeerNotice.
     private static final int TARGETS = 16;
@@ -184,6 +184,8 @@
         for (CrashFact f : l.crashes()) {
             b.writeLong(f.content()).writeInt(f.crash());
         }
+        b.writeShort(l.leaving().size());
+        l.leaving().forEach(b::writeInt);
         return b;
     }
 
@@ -200,6 +202,10 @@
         for (int i = b.readUnsignedShort(); i > 0; i--) {
             crashes.add(new CrashFact(b.readLong(), b.readInt()));
         }
-        return new PeerMessage.Learned(loads, holders, crashes);
+        List<Integer> leaving = new ArrayList<>();
+        for (int i = b.readUnsignedShort(); i > 0; i--) {
+            leaving.add(b.readInt());
+        }
+        return new PeerMessage.Learned(loads, holders, crashes, leaving);
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
@@ -75,7 +75,12 @@
      * @param loads what targets told of their load, the newest readings
      * @param holders which have read a prompt that their seats do not tell of
      * @param crashes which have ended, and what they had
+     * @param leaving which starts of targets have said that they leave, by their short hashes
      */
-    record Learned(List<LoadReading> loads, List<HolderFact> holders, List<CrashFact> crashes)
+    record Learned(
+            List<LoadReading> loads,
+            List<HolderFact> holders,
+            List<CrashFact> crashes,
+            List<Integer> leaving)
             implements PeerMessage {}
 }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
@@ -48,7 +48,8 @@
             new PeerMessage.Learned(
                     List.of(new LoadReading(-5, 17, 999), new LoadReading(3, 0, 0)),
                     List.of(new HolderFact(Long.MAX_VALUE, -7)),
-                    List.of(new CrashFact(-9, 11), CrashFact.answered(12)));
+                    List.of(new CrashFact(-9, 11), CrashFact.answered(12)),
+                    List.of(13, -14));
 
     private static final PeerMessage CONFIG =
             new PeerMessage.Config(
@@ -141,13 +142,21 @@
         for (int i = 0; i < CrashFact.MAX_FACTS; i++) {
             crashes.add(new CrashFact(i, i));
         }
-        assertThat(bytes(loads, List.of(), List.of())).isEqualTo(488);
-        assertThat(bytes(loads, facts, List.of())).isEqualTo(968);
-        assertThat(bytes(loads, facts, crashes)).isEqualTo(1_328);
+        List<Integer> leaving = new ArrayList<>();
+        for (int i = 0; i < TargetWords.MAX_LEAVING; i++) {
+            leaving.add(i);
+        }
+        assertThat(bytes(loads, List.of(), List.of(), List.of())).isEqualTo(490);
+        assertThat(bytes(loads, facts, List.of(), List.of())).isEqualTo(970);
+        assertThat(bytes(loads, facts, crashes, List.of())).isEqualTo(1_330);
+        assertThat(bytes(loads, facts, crashes, leaving)).isEqualTo(1_394);
     }
 
     private static int bytes(
-            List<LoadReading> loads, List<HolderFact> facts, List<CrashFact> crashes) {
-        return written(new PeerMessage.Learned(loads, facts, crashes)).readableBytes();
+            List<LoadReading> loads,
+            List<HolderFact> facts,
+            List<CrashFact> crashes,
+            List<Integer> leaving) {
+        return written(new PeerMessage.Learned(loads, facts, crashes, leaving)).readableBytes();
     }
 }
