--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/QuarantineTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/QuarantineTest.java
@@ -302,6 +302,61 @@
         assertThat(mRouter.verdict(CONTENT)).isEqualTo(Verdict.SERVE);
     }
 
+    // ---------------------------------------------------------------- answers that acquit
+
+    /** A target that began the request before it was refused has answered it. */
+    @Test
+    void anAnswerAfterTheConvictionReleasesTheRequest() throws Exception {
+        Router other = router();
+        mRouter.convict(CONTENT);
+        onLoop(() -> other.hear(STORE_AHEAD));
+        onLoop(() -> mRouter.mQuarantine.onAnswered(CONTENT));
+        assertThat(mRouter.verdict(CONTENT)).isEqualTo(Verdict.SERVE);
+        settle();
+        assertThat(mRouter.row().isReleased()).isTrue();
+        onLoop(() -> other.hear(STORE_AHEAD));
+        assertThat(other.verdict(CONTENT)).isEqualTo(Verdict.SERVE);
+    }
+
+    /** Each end and each answer is seen by one router; the store is away all the while. */
+    @Test
+    void routersTellEachOtherOfTheAnswerWithoutTheStore() throws Exception {
+        Router other = router();
+        mRows.mAway = true;
+        mRouter.convict(CONTENT);
+        other.convict(CONTENT);
+        onLoop(() -> mRouter.mQuarantine.onAnswered(CONTENT));
+        List<CrashFact> news = call(() -> mRouter.mQuarantine.news());
+        onLoop(() -> other.mQuarantine.take(news));
+        assertThat(other.verdict(CONTENT)).isEqualTo(Verdict.SERVE);
+        passTerm(other, TEN_MINUTES / 2);
+        assertThat(other.verdict(CONTENT)).isEqualTo(Verdict.SERVE);
+    }
+
+    /** A row that refuses and the answer cross: the answer counts. */
+    @Test
+    void aRowThatComesAfterTheAnswerIsReleased() throws Exception {
+        Router other = router();
+        onLoop(() -> other.mQuarantine.onAnswered(CONTENT));
+        mRouter.convict(CONTENT);
+        onLoop(() -> other.hear(STORE_AHEAD));
+        assertThat(other.verdict(CONTENT)).isEqualTo(Verdict.SERVE);
+        await(() -> mRouter.row().isReleased());
+    }
+
+    /** Released is not acquitted for ever: new software of targets may not bear the request. */
+    @Test
+    void aReleasedRequestCanBeConvictedAgain() throws Exception {
+        mRouter.convict(CONTENT);
+        onLoop(() -> mRouter.mQuarantine.onAnswered(CONTENT));
+        settle();
+        passTerm(mRouter, TEN_MINUTES);
+        for (int i = 11; i <= 13; i++) {
+            mRouter.crash(CONTENT, i);
+        }
+        assertThat(mRouter.verdict(CONTENT)).isEqualTo(Verdict.REFUSE);
+    }
+
     /** Each refused request has ended three targets; of a thousand the last ones are kept. */
     @Test
     void aFloodOfDifferentOnesIsBounded() throws Exception {
