Release a request that a target has answered, whatever ended beside it

Cause: what was counted against a request was judged before its answers could come; an answer after the conviction was not looked at. Ruled out: news that were lost (one router is enough). An answer releases here at once, by news on the others, and by the row; a row and an answer that cross are released as well. A target's 429 without a word that it has not run the request is no answer of one that began it. Found by the way: a trial whose target had gone before it was sent counted as failed and doubled the term; two tests of CrashingRequestTest showed it once the order of tests, and so the routers' random choices, had changed. The trial now goes on to the next target.

--- a/forkseam-core/src/main/java/org/forkseam/core/crash/CrashSuspects.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/crash/CrashSuspects.java
@@ -72,7 +72,8 @@
         return mCrashes.remove(content) != null;
     }
 
-    private boolean wasAnswered(long content, long nowMillis) {
+    /** Returns whether a target has answered a request lately. */
+    public boolean wasAnswered(long content, long nowMillis) {
         Long at = mAnswered.get(content);
         return at != null && nowMillis - at < ANSWERED_MILLIS;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 
 import org.forkseam.core.member.Target;
@@ -262,6 +263,11 @@
         }
     }
 
+    /** Returns whether the target answered without having begun the request, as far as it tells. */
+    boolean isTurnedAway() {
+        return mHead.status().code() == HttpResponseStatus.TOO_MANY_REQUESTS.code();
+    }
+
     private boolean isSuccess() {
         return mHead.status().codeClass() == HttpStatusClass.SUCCESS;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/QuarantineCheck.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/QuarantineCheck.java
@@ -40,9 +40,12 @@
                         });
     }
 
-    /** Notes how an attempt ended; a trial is one attempt. */
-    void onAttemptEnd(boolean answered) {
-        if (mTrial) {
+    /**
+     * Notes how an attempt ended. A trial is one attempt that a target may have run: one that found
+     * its target gone or full says nothing of the request, and another target gets it.
+     */
+    void onAttemptEnd(boolean mayHaveRun, boolean answered) {
+        if (mTrial && mayHaveRun) {
             mTrial = false;
             mQuarantine.onTrialEnded(mContent, answered);
         }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -208,7 +208,8 @@
         long now = mContext.now();
         mContext.counters().onAttempt(end.kind().name());
         end.teach(a.target(), mContext.errors(mPool), now);
-        mQuarantine.onAttemptEnd(end.kind() == AttemptEnd.Kind.ANSWERED);
+        boolean answered = end.kind() == AttemptEnd.Kind.ANSWERED && !a.isTurnedAway();
+        mQuarantine.onAttemptEnd(end.kind().mayHaveRun(), answered);
         rememberLastId(a);
         if (end.kind() == AttemptEnd.Kind.ANSWERED) {
             if (!mDone) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Quarantine.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Quarantine.java
@@ -19,6 +19,11 @@
  * Keeps requests under which targets end from further targets, on all routers. Used on the event
  * loop.
  *
+ * <p>An answer acquits: a request that ends its targets never gets one. Copies of one request that
+ * were under way beside three ends of another cause had it refused for ten minutes, although the
+ * other copies were answered right after. So an answer releases a request whatever was counted
+ * against it before, here at once and on the other routers with the news and the row.
+ *
  * <p>A request that ends each target that runs it would otherwise end the whole pool, since it
  * comes again at any router under a new id. Each router tells the others which targets ended under
  * which requests; whoever knows of three ends refuses the request at once, and writes a row that
@@ -131,10 +136,15 @@
 
     /** Notes that a target has answered a request. */
     public void onAnswered(long content) {
-        if (mSuspects.onAnswered(content, now())) {
+        boolean wasSuspect = mSuspects.onAnswered(content, now());
+        boolean wasRefused = mRows.term(content).isPresent();
+        if (wasSuspect || wasRefused) {
             mNews.removeIf(f -> f.content() == content);
             mNews.add(CrashFact.answered(content));
         }
+        if (wasRefused) {
+            release(content, true);
+        }
     }
 
     /** Returns whether a request is refused once one more target ends under it. */
@@ -167,13 +177,26 @@
     /** Takes in what another router has learned. */
     void take(List<CrashFact> facts) {
         for (CrashFact f : facts) {
-            if (suspect(f)) {
+            if (f.isAnswered()) {
+                takeAnswered(f);
+            } else if (suspect(f)) {
                 mNews.add(f);
                 onSuspected(f.content(), false);
             }
         }
     }
 
+    private void takeAnswered(CrashFact f) {
+        boolean wasSuspect = mSuspects.onAnswered(f.content(), now());
+        boolean wasRefused = mRows.term(f.content()).isPresent();
+        if (wasSuspect || wasRefused) {
+            mNews.add(f);
+        }
+        if (wasRefused) {
+            release(f.content(), false);
+        }
+    }
+
     /** Counts an end of a target, and returns whether it was news. */
     private boolean suspect(CrashFact f) {
         return mRows.term(f.content()).isEmpty() && mSuspects.take(f, now());
@@ -193,9 +216,24 @@
                 .with("crashes", mSuspects.crashes(content))
                 .with("saw_last", sawIt)
                 .log();
+        later(writePause(sawIt), () -> writeFirst(content));
+    }
+
+    /** Returns how long to wait for another router to write a row that this one need not. */
+    private long writePause(boolean sawIt) {
         long span =
                 Math.min(MAX_WRITE_SPREAD_MILLIS, WRITE_SPREAD_MILLIS_A_ROUTER * link().others());
-        later(sawIt || span == 0 ? 0 : random().nextLong(span), () -> writeFirst(content));
+        return sawIt || span == 0 ? 0 : random().nextLong(span);
+    }
+
+    /** Serves a request again here, and has the row say so on all routers. */
+    private void release(long content, boolean sawIt) {
+        Event.always("request_acquitted")
+                .with("content", Hashes.text(content))
+                .with("saw_answer", sawIt)
+                .log();
+        mRows.releaseHere(content);
+        later(writePause(sawIt), () -> writeReleased(content));
     }
 
     // ---------------------------------------------------------------- rows
@@ -214,12 +252,15 @@
     }
 
     private void onChange(QuarantineRows.Change c) {
-        mNews.removeIf(f -> f.content() == c.content()); // all read the row
+        mNews.removeIf(f -> f.content() == c.content() && !f.isAnswered()); // all read the row
         mSuspects.forget(c.content());
         Event.always("quarantine")
                 .with("content", Hashes.text(c.content()))
                 .with("term_ms", c.term().map(QuarantineTerm::termMillis).orElse(0L))
                 .log();
+        if (mRows.term(c.content()).isPresent() && mSuspects.wasAnswered(c.content(), now())) {
+            release(c.content(), false); // the row and the answer have crossed
+        }
     }
 
     /** Writes the first row of a convicted request, unless another router has. */
@@ -243,6 +284,20 @@
                         });
     }
 
+    /** Has the row of an answered request say that it is served, unless another router has. */
+    private void writeReleased(long content) {
+        if (isStopped() || !mRows.isReleasedHereOnly(content)) {
+            return;
+        }
+        mRows.write(content, QuarantineTerm.released())
+                .whenComplete(
+                        (own, failure) -> {
+                            if (mRows.isReleasedHereOnly(content)) {
+                                later(pauseAfter(++mWriteFailures), () -> writeReleased(content));
+                            }
+                        });
+    }
+
     private void writeAgain(long content) {
         later(pauseAfter(++mWriteFailures), () -> writeFirst(content));
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/QuarantineRows.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/QuarantineRows.java
@@ -36,8 +36,12 @@
     private final Map<Long, Row> mKnown = BoundedMap.byInsertion(MAX_KNOWN);
     private final Set<Long> mWriting = new HashSet<>();
 
-    /** Holds a term, and the revision of its row. */
-    private record Row(QuarantineTerm term, long revision) {}
+    /**
+     * Holds a term, and the revision of its row.
+     *
+     * @param ahead whether this router has released the request, and the row does not say so yet
+     */
+    private record Row(QuarantineTerm term, long revision, boolean ahead) {}
 
     /**
      * Says what a row that changed holds.
@@ -59,6 +63,21 @@
         return Optional.ofNullable(mKnown.get(content)).map(Row::term).filter(t -> !t.isReleased());
     }
 
+    /**
+     * Lets a request be served at once, before the row that releases it is written: until its row
+     * changes.
+     */
+    void releaseHere(long content) {
+        mKnown.computeIfPresent(
+                content, (c, row) -> new Row(QuarantineTerm.released(), row.revision(), true));
+    }
+
+    /** Returns whether a request is served here although its row still refuses it. */
+    boolean isReleasedHereOnly(long content) {
+        Row row = mKnown.get(content);
+        return row != null && row.ahead();
+    }
+
     /** Returns the number of rows known. */
     int size() {
         return mKnown.size();
@@ -82,14 +101,22 @@
             Event.of("quarantine_row_malformed").with("row", row.key()).log();
             return Optional.empty();
         }
+        if (isKnown(content.get(), row.revision())) {
+            return Optional.empty(); // told once more, and perhaps released here meanwhile
+        }
         if (term.isEmpty()) {
             mKnown.remove(content.get()); // by an operator, or by a router after its time
         } else {
-            mKnown.put(content.get(), new Row(term.get(), row.revision()));
+            mKnown.put(content.get(), new Row(term.get(), row.revision(), false));
         }
         return Optional.of(new Change(content.get(), term));
     }
 
+    private boolean isKnown(long content, long revision) {
+        Row known = mKnown.get(content);
+        return known != null && known.revision() == revision;
+    }
+
     // ---------------------------------------------------------------- writing
 
     /**
