--- /dev/null
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Admission.java
@@ -0,0 +1,69 @@
+package org.forkseam.direct.flow;
+
+import org.forkseam.core.traffic.Route;
+import org.forkseam.core.traffic.Team;
+import org.forkseam.core.traffic.TrafficConfig;
+
+import java.util.Optional;
+import java.util.OptionalInt;
+
+/**
+ * Holds what the configuration in force says of a request that it lets pass. Immutable.
+ *
+ * @param config the configuration
+ * @param route the request's route
+ * @param team the caller's team, if it brought a key
+ * @param pool the pool that serves the request
+ * @param deadlineMillis when the final answer goes out at the latest, by the router's clock
+ */
+record Admission(
+        TrafficConfig config, Route route, Optional<Team> team, String pool, long deadlineMillis) {
+    /** The final answer goes out so long before the caller stops waiting. */
+    private static final long ANSWER_MARGIN_MILLIS = 60;
+
+    /**
+     * Share of its objective that a request must have left to be sent: with less, an answer hardly
+     * comes before the caller gives up, and the target works in vain. Origin: the operators, who do
+     * not count such an attempt as one; what it saves was not measured.
+     */
+    private static final double LEAST_SHARE_LEFT = 0.1;
+
+    /** Kept connections that were idle for longer are not used for what can be repeated. */
+    private static final long MAX_IDLE_MILLIS = 5_000;
+
+    /** A kept connection may have been forgotten: what cannot be repeated avoids old ones. */
+    private static final long MAX_IDLE_UNREPEATABLE_MILLIS = 2_000;
+
+    /** Creates what a configuration says of a request that has passed its checks. */
+    static Admission of(TrafficConfig config, Gate.Passed p, CallerRequest r) {
+        long wait = r.head().waitMillis().orElse(Long.MAX_VALUE);
+        long held = Math.min(wait, p.route().timeoutMillis());
+        long deadline = r.receivedMillis() + held - ANSWER_MARGIN_MILLIS;
+        return new Admission(config, p.route(), p.team(), p.route().pool(r.id()), deadline);
+    }
+
+    /** Returns the milliseconds left until the final answer is due, at least 1. */
+    long leftMillis(long nowMillis) {
+        return Math.max(1, deadlineMillis - nowMillis);
+    }
+
+    /** Returns whether the final answer is due. */
+    boolean isOver(long nowMillis) {
+        return nowMillis >= deadlineMillis;
+    }
+
+    /** Returns whether there is time left for an answer of a target. */
+    boolean leavesTime(long nowMillis) {
+        return deadlineMillis - nowMillis >= LEAST_SHARE_LEFT * route.latencyMillis();
+    }
+
+    /** Returns the request's rank; 0 is the most urgent. */
+    int priority() {
+        return team.map(Team::priority).orElse(OptionalInt.empty()).orElse(route.priority());
+    }
+
+    /** Returns for how long a kept connection may have been idle that carries the request. */
+    long maxIdleMillis() {
+        return route.kind().isRepeatable() ? MAX_IDLE_MILLIS : MAX_IDLE_UNREPEATABLE_MILLIS;
+    }
+}
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/FinalAnswer.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/FinalAnswer.java
@@ -69,10 +69,10 @@
 
     /** Refuses a request under which targets end; coming back before is in vain. */
     void refuseQuarantined(long backInMillis) {
-        String why = "not run: targets have ended under this request";
+        String why = "targets have ended under this request";
         own(
                 "refused_quarantined",
-                mContext.answers().notRunBefore(mRequest.id(), why, backInMillis));
+                mContext.answers().notRunBefore(mRequest.id(), "not run: " + why, backInMillis));
     }
 
     /** Refuses a request for which a router that has just started could not learn enough. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -14,8 +14,6 @@
 
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.OptionalLong;
 
 /**
  * Carries one request from its reading to its final answer. Used on the event loop.
@@ -24,22 +22,12 @@
  * AttemptTally}.
  */
 final class RequestFlow implements AttemptListener, Intake.Item {
-    /** The final answer goes out so long before the caller stops waiting. */
-    private static final long ANSWER_MARGIN_MILLIS = 60;
-
     /** A request waits so long for a router that has just started; then it is refused. */
     private static final long AWAIT_KNOWLEDGE_MILLIS = 600;
 
     /** By then such a router knows enough, or the balancer has taken it out. Unit: ms. */
     private static final long IGNORANT_BACK_MILLIS = 500;
 
-    /**
-     * Share of its objective that a request must have left to be sent: with less, an answer hardly
-     * comes before the caller gives up, and the target works in vain. Origin: the operators, who do
-     * not count such an attempt as one; what it saves was not measured.
-     */
-    private static final double LEAST_SHARE_LEFT = 0.1;
-
     private final RouterContext mContext;
     private final CallerRequest mRequest;
     private final CallerSink mSink;
@@ -50,11 +38,9 @@
     private final long mReadAt;
     private final RequestPlacement mPlacement;
     private final AttemptTally mTally = new AttemptTally();
+    private final GiveUp mGiveUp;
     private TrafficConfig mConfig;
-    private Route mRoute;
-    private Optional<Team> mTeam = Optional.empty();
-    private String mPool = "";
-    private long mDeadline;
+    private Admission mAdmission;
     private Attempt mAttempt;
     private boolean mStreaming;
     private boolean mDone;
@@ -69,6 +55,7 @@
         mRecord = new FlowRecord(context, request, mContent);
         mFinal = new FinalAnswer(context, request, sink, this::finish);
         mPlacement = new RequestPlacement(context, request);
+        mGiveUp = new GiveUp(context, mFinal, mTally, mPlacement);
         mReadAt = context.now();
     }
 
@@ -112,28 +99,31 @@
     }
 
     private void admit(Gate.Passed p) {
-        mRoute = p.route();
-        mTeam = p.team();
-        mPool = mRoute.pool(mRequest.id());
-        if (mRoute.kind() == RouteKind.RESUMABLE) {
+        mAdmission = Admission.of(mConfig, p, mRequest);
+        if (route().kind() == RouteKind.RESUMABLE) {
             mLastId = mRequest.head().lastEventId().orElse(null);
         }
-        long wait = mRequest.head().waitMillis().orElse(Long.MAX_VALUE);
-        long held = Math.min(wait, mRoute.timeoutMillis());
-        mDeadline = mRequest.receivedMillis() + held - ANSWER_MARGIN_MILLIS;
+    }
+
+    private Route route() {
+        return mAdmission.route();
+    }
+
+    private String pool() {
+        return mAdmission.pool();
     }
 
     @Override
     public void begin() {
-        mContext.budgets().pool(mPool).onRequest(mContext.now());
-        mContext.knowledge().seats().onRequest(mPool);
+        mContext.budgets().pool(pool()).onRequest(mContext.now());
+        mContext.knowledge().seats().onRequest(pool());
         attempt();
     }
 
     // ---------------------------------------------------------------- attempts
 
     private void attempt() {
-        if (mDeadline - mContext.now() < LEAST_SHARE_LEFT * mRoute.latencyMillis()) {
+        if (!mAdmission.leavesTime(mContext.now())) {
             giveUp("no_time");
             return;
         }
@@ -141,30 +131,30 @@
             refuseOrTry();
             return;
         }
-        Optional<Pick> pick = mPlacement.next(mConfig, mRoute, mTeam, mPool);
+        Optional<Pick> pick = mPlacement.next(mAdmission);
         if (pick.isEmpty()) {
-            giveUp(mPlacement.whyNone(mConfig, mPool));
+            giveUp(mPlacement.whyNone(mAdmission));
             return;
         }
         Target t = pick.get().target();
         mRecord.onChoice(
                 new FlowRecord.Choice(
-                        mPool, pick.get(), mPlacement.key(), mPlacement.sharedTokens()));
+                        pool(), pick.get(), mPlacement.key(), mPlacement.sharedTokens()));
         mAttempt =
                 new Attempt(
                         mContext,
                         t,
                         mRequest.id(),
-                        mRoute.kind().isStream(),
+                        route().kind().isStream(),
                         () -> requestFor(t),
                         this);
-        mAttempt.start(maxIdleMillis());
+        mAttempt.start(mAdmission.maxIdleMillis());
     }
 
     /** Targets have ended under the request: it gets no other, but for a trial now and then. */
     private void refuseOrTry() {
         if (!mQuarantine.mayAsk()) {
-            giveUpQuarantined();
+            mGiveUp.endQuarantined(mQuarantine.backInMillis(), mAdmission, mStreaming);
             return;
         }
         mQuarantine.ask(
@@ -180,26 +170,19 @@
         return mQuarantine.maySend();
     }
 
-    /** A kept connection may have been forgotten: what cannot be repeated avoids old ones. */
-    private long maxIdleMillis() {
-        return mRoute.kind().isRepeatable() ? 5_000 : 2_000;
-    }
-
     private FullHttpRequest requestFor(Target t) {
         mTally.onSent();
         return OutgoingRequest.of(mContext.protocol(), mRequest, handover(t));
     }
 
     private Handover handover(Target t) {
-        int priority =
-                mTeam.map(Team::priority).orElse(OptionalInt.empty()).orElse(mRoute.priority());
         return new Handover(
                 t.entry().id(),
-                Math.max(1, mDeadline - mContext.now()),
-                mTeam.map(Team::name),
-                priority,
+                mAdmission.leftMillis(mContext.now()),
+                mAdmission.team().map(Team::name),
+                mAdmission.priority(),
                 Optional.ofNullable(mLastId),
-                mPlacement.copyFrom(t, mPool));
+                mPlacement.copyFrom(t, pool()));
     }
 
     @Override
@@ -207,7 +190,7 @@
         mAttempt = null;
         long now = mContext.now();
         mContext.counters().onAttempt(end.kind().name());
-        end.teach(a.target(), mContext.errors(mPool), now);
+        end.teach(a.target(), mContext.errors(pool()), now);
         boolean answered = end.kind() == AttemptEnd.Kind.ANSWERED && !a.isTurnedAway();
         mQuarantine.onAttemptEnd(end.kind().mayHaveRun(), answered);
         rememberLastId(a);
@@ -241,9 +224,12 @@
 
     private boolean mayTryAgain(AttemptEnd end, long now) {
         boolean tooLate = mStreaming && mLastId == null;
-        return now < mDeadline
+        return !mAdmission.isOver(now)
                 && mTally.allowsAnother(
-                        end, mRoute, tooLate, () -> mContext.budgets().pool(mPool).tryRepeat(now));
+                        end,
+                        route(),
+                        tooLate,
+                        () -> mContext.budgets().pool(pool()).tryRepeat(now));
     }
 
     // ---------------------------------------------------------------- streams
@@ -291,7 +277,7 @@
             refuseIfIgnorant(now);
             return;
         }
-        if (now >= mDeadline) {
+        if (mAdmission.isOver(now)) {
             onDeadline();
             return;
         }
@@ -301,15 +287,15 @@
     }
 
     private boolean isStuck(Attempt a, long now) {
-        if (!mTally.leavesRepeats(mRoute)) {
+        if (!mTally.leavesRepeats(route())) {
             return false;
         }
         return Patience.isOver(
-                mRoute, a.silentMillis(now), a.target().silentMillis(now), mStreaming);
+                route(), a.silentMillis(now), a.target().silentMillis(now), mStreaming);
     }
 
     private void replaceStuck(long now) {
-        if (mContext.budgets().pool(mPool).left(now) < 1) {
+        if (mContext.budgets().pool(pool()).left(now) < 1) {
             return;
         }
         Attempt a = mAttempt;
@@ -338,9 +324,9 @@
     // ---------------------------------------------------------------- ending
 
     private void finishAnswered(Attempt a) {
-        mContext.comeBack(mPool).onServed(mContext.now());
-        mPlacement.onAnswered(mPool, a.target());
-        if (mRoute.kind().isStream() && mStreaming) {
+        mContext.comeBack(pool()).onServed(mContext.now());
+        mPlacement.onAnswered(pool(), a.target());
+        if (route().kind().isStream() && mStreaming) {
             mFinal.endStream();
         } else {
             mFinal.pass(a);
@@ -361,46 +347,18 @@
     }
 
     private void giveUp(String why) {
-        if (failIfBegun(why)) {
-            return;
-        }
-        long backIn = mContext.comeBack(mPool).onRefused(mContext.now());
-        OptionalLong freeIn = mPlacement.freeAgainIn(mPool);
-        if (freeIn.isPresent()) {
-            mFinal.refuseBefore(why, freeIn.getAsLong());
-        } else {
-            mFinal.refuse(why, backIn);
-        }
-    }
-
-    /** Ends a request under which targets end. */
-    private void giveUpQuarantined() {
-        if (!failIfBegun("quarantined")) {
-            mFinal.refuseQuarantined(mQuarantine.backInMillis());
-        }
-    }
-
-    /** Ends a request that may have run, or returns false if it has certainly not. */
-    private boolean failIfBegun(String why) {
-        if (mStreaming) {
-            mFinal.breakOff();
-            return true;
-        }
-        if (mTally.mayHaveRun()) {
-            mFinal.fail(why, mContext.now() >= mDeadline);
-            return true;
-        }
-        return false;
+        mGiveUp.end(why, mAdmission, mStreaming);
     }
 
     private void finish(String outcome) {
         mDone = true;
         mContext.flows().remove(this);
+        Optional<Admission> admitted = Optional.ofNullable(mAdmission);
         mRecord.onEnd(
                 outcome,
                 new FlowRecord.Summary(
-                        mRoute == null ? "" : mRoute.name(),
-                        mTeam.map(Team::name).orElse(""),
+                        admitted.map(a -> a.route().name()).orElse(""),
+                        admitted.flatMap(Admission::team).map(Team::name).orElse(""),
                         mConfig == null ? 0 : mConfig.version(),
                         mTally.sent(),
                         mPlacement.copySource()));
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
@@ -8,9 +8,6 @@
 import org.forkseam.core.traffic.ColdStart;
 import org.forkseam.core.traffic.Pool;
 import org.forkseam.core.traffic.Prompt;
-import org.forkseam.core.traffic.Route;
-import org.forkseam.core.traffic.Team;
-import org.forkseam.core.traffic.TrafficConfig;
 import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.know.Knowledge;
 
@@ -56,20 +53,24 @@
     }
 
     /** Chooses a target that this request was not sent to yet. */
-    Optional<Pick> next(TrafficConfig config, Route route, Optional<Team> team, String pool) {
+    Optional<Pick> next(Admission admission) {
         long now = mContext.now();
-        ColdStart cold = coldStart(config, pool);
+        String pool = admission.pool();
+        ColdStart cold = coldStart(admission);
         List<Target> all =
                 mContext.placing()
                         .regions()
-                        .allowed(mContext.knowledge().targets().pool(pool), route, team);
+                        .allowed(
+                                mContext.knowledge().targets().pool(pool),
+                                admission.route(),
+                                admission.team());
         List<Target> admitted = mContext.coldGate().admitted(all, cold, now);
         int resting = all.size() - admitted.size() + resting(admitted, now);
         CandidateFilter.Candidates c = mContext.placing().filter().of(admitted, mTried, now);
         PickRequest request =
                 new PickRequest(
                         mKey, mSharedTokens, mContext.knowledge().seats().table(pool), resting);
-        Optional<Pick> pick = picker(config, pool).pick(request, c.targets(), now);
+        Optional<Pick> pick = picker(admission).pick(request, c.targets(), now);
         pick.ifPresent(p -> onPick(pool, p, cold, now));
         return pick;
     }
@@ -82,8 +83,8 @@
         return n;
     }
 
-    private static ColdStart coldStart(TrafficConfig config, String pool) {
-        return config.pool(pool).map(Pool::coldStart).orElse(ColdStart.NONE);
+    private static ColdStart coldStart(Admission a) {
+        return a.config().pool(a.pool()).map(Pool::coldStart).orElse(ColdStart.NONE);
     }
 
     private void onPick(String pool, Pick p, ColdStart cold, long now) {
@@ -93,10 +94,11 @@
     }
 
     /** Says why there is no target that this request could be sent to. */
-    String whyNone(TrafficConfig config, String pool) {
+    String whyNone(Admission admission) {
+        String pool = admission.pool();
         long now = mContext.now();
         List<Target> all = mContext.knowledge().targets().pool(pool);
-        long coldMillis = coldStart(config, pool).millis();
+        long coldMillis = coldStart(admission).millis();
         if (all.stream().anyMatch(t -> t.takesWork(now) && t.isCold(coldMillis, now))) {
             return "cold";
         }
@@ -129,8 +131,8 @@
         return first;
     }
 
-    private TargetPicker picker(TrafficConfig config, String pool) {
-        boolean engine = config.pool(pool).map(Pool::engine).orElse(false);
+    private TargetPicker picker(Admission a) {
+        boolean engine = a.config().pool(a.pool()).map(Pool::engine).orElse(false);
         return engine ? mContext.placing().engines() : mContext.placing().services();
     }
 
