Tell a target's word when it is news by itself, and look for free targets in the allowed regions

Found on reading: a word that its target leaves was not told to others where the row had gone or said so already, since the state stayed the same; the time until a target is free, and the reason why there is none, looked at regions that the request may not go to. Cause of both: derived from what was at hand, not from what is asked. Tests of leaving, holding off, evacuation and all orders green.

--- a/forkseam-core/src/main/java/org/forkseam/core/member/Availability.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Availability.java
@@ -98,6 +98,16 @@
         return mRowLeaving || mSaysLeaving;
     }
 
+    /** Returns whether an answer of the target has said that it leaves. */
+    public boolean saysLeaving() {
+        return mSaysLeaving;
+    }
+
+    /** Returns whether another target was found at the target's address. */
+    public boolean isReplaced() {
+        return mReplaced;
+    }
+
     /** Returns the moment before which the target wants nothing more; 0 if it never asked. */
     public long holdOffUntil() {
         return mHoldOffUntil;
--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -101,23 +101,23 @@
 
     /** Notes that it says that it leaves; returns whether that was not known. */
     public boolean onSaysLeaving() {
-        return become(mAvailability.withSaysLeaving(), 0);
+        boolean news = !mAvailability.saysLeaving();
+        mAvailability = mAvailability.withSaysLeaving();
+        return news;
     }
 
     /** Notes that another target lives at its address; returns whether that was not known. */
     public boolean onReplaced() {
-        return become(mAvailability.withReplaced(), 0);
+        boolean news = !mAvailability.isReplaced();
+        mAvailability = mAvailability.withReplaced();
+        return news;
     }
 
-    /** Notes that it wants nothing more for a while; returns whether it took work until now. */
+    /** Notes that it wants nothing more for a while; returns whether it wanted work until now. */
     public boolean onHoldOff(long millis, long nowMillis) {
-        return become(mAvailability.withHoldOffUntil(nowMillis + millis), nowMillis);
-    }
-
-    private boolean become(Availability next, long nowMillis) {
-        boolean changed = next.state(nowMillis) != mAvailability.state(nowMillis);
-        mAvailability = next;
-        return changed;
+        Availability.State before = mAvailability.state(nowMillis);
+        mAvailability = mAvailability.withHoldOffUntil(nowMillis + millis);
+        return mAvailability.state(nowMillis) != before;
     }
 
     /** Notes whether operators have asked to send nothing to its failure domain. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/GiveUp.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/GiveUp.java
@@ -34,7 +34,7 @@
             return;
         }
         long backIn = mContext.comeBack(a.pool()).onRefused(mContext.now());
-        OptionalLong freeIn = mPlacement.freeAgainIn(a.pool());
+        OptionalLong freeIn = mPlacement.freeAgainIn(a);
         if (freeIn.isPresent()) {
             mFinal.refuseBefore(why, freeIn.getAsLong());
         } else {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -154,7 +154,7 @@
 
     /** Waits for the first target that wants work again, if that is soon. */
     private void waitOrGiveUp() {
-        OptionalLong freeIn = mPlacement.freeAgainIn(pool());
+        OptionalLong freeIn = mPlacement.freeAgainIn(mAdmission);
         long until = mContext.now() + freeIn.orElse(0);
         if (freeIn.isEmpty() || !mAdmission.mayWait(mRequest.receivedMillis(), until)) {
             giveUp(mPlacement.whyNone(mAdmission));
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
@@ -57,13 +57,7 @@
         long now = mContext.now();
         String pool = admission.pool();
         ColdStart cold = coldStart(admission);
-        List<Target> all =
-                mContext.placing()
-                        .regions()
-                        .allowed(
-                                mContext.knowledge().targets().pool(pool),
-                                admission.route(),
-                                admission.team());
+        List<Target> all = allowed(admission);
         List<Target> admitted = mContext.coldGate().admitted(all, cold, now);
         int resting = all.size() - admitted.size() + resting(admitted, now);
         CandidateFilter.Candidates c = mContext.placing().filter().of(admitted, mTried, now);
@@ -75,6 +69,12 @@
         return pick;
     }
 
+    /** Returns the targets of a request's pool in the regions that it may go to. */
+    private List<Target> allowed(Admission a) {
+        List<Target> pool = mContext.knowledge().targets().pool(a.pool());
+        return mContext.placing().regions().allowed(pool, a.route(), a.team());
+    }
+
     private static int resting(List<Target> targets, long now) {
         int n = 0;
         for (Target t : targets) {
@@ -95,9 +95,8 @@
 
     /** Says why there is no target that this request could be sent to. */
     String whyNone(Admission admission) {
-        String pool = admission.pool();
         long now = mContext.now();
-        List<Target> all = mContext.knowledge().targets().pool(pool);
+        List<Target> all = allowed(admission);
         long coldMillis = coldStart(admission).millis();
         if (all.stream().anyMatch(t -> t.takesWork(now) && t.isCold(coldMillis, now))) {
             return "cold";
@@ -105,20 +104,20 @@
         if (all.stream().anyMatch(Target::isEvacuated)) {
             return "evacuated";
         }
-        if (freeAgainIn(pool).isPresent()) {
+        if (freeAgainIn(admission).isPresent()) {
             return "holding_off";
         }
         return all.stream().anyMatch(t -> t.availability().isLeaving()) ? "leaving" : "no_target";
     }
 
     /**
-     * Returns in how many milliseconds the first target of a pool wants work again; empty if one
-     * does now, or none is known to.
+     * Returns in how many milliseconds the first target that a request may go to wants work again;
+     * empty if one does now, or none is known to.
      */
-    OptionalLong freeAgainIn(String pool) {
+    OptionalLong freeAgainIn(Admission admission) {
         long now = mContext.now();
         OptionalLong first = OptionalLong.empty();
-        for (Target t : mContext.knowledge().targets().pool(pool)) {
+        for (Target t : allowed(admission)) {
             if (t.takesWork(now)) {
                 return OptionalLong.empty();
             }
