Decide at the end of its time what is kept after an outage, and try the store once others are heard again

Mend: a read at the end of the kept time; a router that hears others after a silence, or hears that they have read the list, tries at once, also if a read hangs.

--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
@@ -107,6 +107,11 @@
         return mKeepsMissing;
     }
 
+    /** Returns when it is decided which targets have left that the lists do not hold. */
+    public long keepMissingUntil() {
+        return mKeepMissingUntil;
+    }
+
     private Optional<TargetChange> take(TargetEntry e, long now) {
         Target known = mById.get(e.id());
         if (known == null || !known.start().equals(e.start())) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -38,6 +38,9 @@
     /** Name of the service. */
     public static final String NAME = "knowledge";
 
+    /** Other routers are heard some times a second; a pause so long means that a way is cut. */
+    private static final long SILENCE_MILLIS = 1_000;
+
     private final EventLoop mLoop;
     private final Clock mClock;
     private final Supplier<Map<String, Long>> mCalls;
@@ -53,6 +56,7 @@
     private final Learned mLearned;
     private final TargetWords mWords;
     private long mEvacuationChanges;
+    private long mHeardAt;
     private boolean mAsking;
     private boolean mStopped;
 
@@ -265,6 +269,7 @@
         if (mStopped) {
             return;
         }
+        noteHeard(m);
         if (m instanceof PeerMessage.Learned l) {
             mLearned.take(l);
             return;
@@ -289,6 +294,21 @@
         }
     }
 
+    /**
+     * Tries the store at once where another router shows that it can be reached: one that is heard
+     * after a silence, so that this router was cut off itself, or one that has read the list. By
+     * its own pauses a router that was cut off is behind for up to three seconds more.
+     */
+    private void noteHeard(PeerMessage m) {
+        long now = mClock.nowMillis();
+        boolean afterSilence = now - mHeardAt > SILENCE_MILLIS;
+        boolean hasRead = m instanceof PeerNotice || m instanceof PeerMessage.Targets;
+        mHeardAt = now;
+        if (mWatch.isDown() && (afterSilence || hasRead)) {
+            mTargets.retry();
+        }
+    }
+
     private void onRestart(String targetId) {
         mSeats.onRestart(targetId);
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
@@ -28,6 +28,12 @@
      */
     private static final int MAX_MESSAGES = 400;
 
+    /**
+     * Least pause between the begin of two tries when other routers show that the way to the store
+     * may be back; about half the time for which a try waits for its answer.
+     */
+    private static final long MIN_RETRY_MILLIS = 500;
+
     private final FleetSource mSource;
     private final TargetDirectory mTargets = TargetDirectory.create();
     private long mPauseMillis;
@@ -40,6 +46,8 @@
     private long mSourceOffset;
     private boolean mListed;
     private boolean mReading;
+    private int mReads;
+    private long mTriedAt = Long.MIN_VALUE / 2;
     private Future<?> mNext;
 
     /**
@@ -90,8 +98,27 @@
         if (isStopped() || mReading) {
             return;
         }
+        begin(telling);
+    }
+
+    private void begin(Telling telling) {
         mReading = true;
-        mSource.readTargets().whenComplete((list, e) -> onList(list, e, telling));
+        mTriedAt = now();
+        int read = ++mReads;
+        mSource.readTargets()
+                .whenComplete(
+                        (list, e) -> {
+                            if (read == mReads) {
+                                onList(list, e, telling);
+                            }
+                        });
+    }
+
+    /** Reads at once, the way to the store being likely to be back; a read that hangs is left. */
+    void retry() {
+        if (!isStopped() && now() - mTriedAt >= MIN_RETRY_MILLIS) {
+            begin(Telling.ALL);
+        }
     }
 
     private void onList(Versioned<List<TargetEntry>> read, Throwable failure, Telling telling) {
@@ -114,7 +141,22 @@
         if (telling == Telling.ALL) {
             tell(first ? List.of() : news.inSteps(STEP_ENTRIES), news);
         }
-        readIn(mPauseMillis + spread(), this::readIfDue);
+        readNext(now);
+    }
+
+    /**
+     * Plans the next read: when the time is over for which targets are kept whose rows may have
+     * lapsed, if that is sooner than the regular read. Until the next regular one, a target that
+     * had left was kept for up to a second more than the promise allows.
+     */
+    private void readNext(long now) {
+        long regular = mPauseMillis + spread();
+        long untilDecided = mTargets.keepMissingUntil() - now;
+        if (mTargets.keepsMissing() && untilDecided < regular) {
+            readIn(Math.max(0, untilDecided), () -> read(Telling.NOBODY));
+        } else {
+            readIn(regular, this::readIfDue);
+        }
     }
 
     private void take(TargetNews.Listed list, long revision, long confirmedAt) {
