--- a/forkseam-core/src/main/java/org/forkseam/core/member/Availability.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Availability.java
@@ -82,7 +82,7 @@
         if (!mListed || mReplaced) {
             return State.GONE;
         }
-        if (mRowLeaving || mSaysLeaving) {
+        if (isLeaving()) {
             return State.LEAVING;
         }
         return nowMillis < mHoldOffUntil ? State.HOLDING_OFF : State.AVAILABLE;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -103,10 +103,6 @@
         return mHead;
     }
 
-    AnswerHead decoded() {
-        return mDecoded;
-    }
-
     ByteBuf body() {
         return mBody;
     }
@@ -189,11 +185,14 @@
         end(AttemptEnd.of(kind, detail));
     }
 
-    /** Tells whether an answer is this request's: only refusals may come without an id. */
+    /**
+     * Tells whether an answer is this request's: only refusals may come without an id. Asked of
+     * each head before it is brought, so that it is decoded once.
+     */
     private boolean belongs(HttpResponse r) {
-        AnswerHead h = mContext.protocol().decode(r);
-        if (h.requestId().isPresent()) {
-            return h.requestId().get().equals(mRequestId);
+        mDecoded = mContext.protocol().decode(r);
+        if (mDecoded.requestId().isPresent()) {
+            return mDecoded.requestId().get().equals(mRequestId);
         }
         return r.status().codeClass() != HttpStatusClass.SUCCESS;
     }
@@ -205,7 +204,6 @@
         heard();
         mHeadAt = mContext.now();
         mHead = head;
-        mDecoded = mContext.protocol().decode(head);
         mContext.knowledge().words().onAnswer(mTarget, mDecoded);
         mDecoded.load().ifPresent(l -> mTarget.onLoad(l, mContext.now()));
         mDecoded.keepMillis().ifPresent(k -> mConnection.keepAtMost(k - keepMargin(k)));
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -157,7 +157,7 @@
         OptionalLong freeIn = mPlacement.freeAgainIn(mAdmission);
         long until = mContext.now() + freeIn.orElse(0);
         if (freeIn.isEmpty() || !mAdmission.mayWait(mRequest.receivedMillis(), until)) {
-            giveUp(mPlacement.whyNone(mAdmission));
+            giveUp(mPlacement.whyNone(mAdmission, freeIn.isPresent()));
             return;
         }
         mPlacement.forgetTried();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestPlacement.java
@@ -93,8 +93,12 @@
         mContext.knowledge().seats().onPick(pool, p.reason());
     }
 
-    /** Says why there is no target that this request could be sent to. */
-    String whyNone(Admission admission) {
+    /**
+     * Says why there is no target that this request could be sent to.
+     *
+     * @param holdsOff whether one is known to want work again, and none does now
+     */
+    String whyNone(Admission admission, boolean holdsOff) {
         long now = mContext.now();
         List<Target> all = allowed(admission);
         long coldMillis = coldStart(admission).millis();
@@ -104,7 +108,7 @@
         if (all.stream().anyMatch(Target::isEvacuated)) {
             return "evacuated";
         }
-        if (freeAgainIn(admission).isPresent()) {
+        if (holdsOff) {
             return "holding_off";
         }
         return all.stream().anyMatch(t -> t.availability().isLeaving()) ? "leaving" : "no_target";
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -22,11 +22,10 @@
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.CallerProtocol;
 
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -259,16 +258,12 @@
     }
 
     private void tidy(long now) {
-        Set<TargetStart> known = new HashSet<>();
-        Set<TargetStart> leaving = new HashSet<>();
+        Map<TargetStart, Target> known = new HashMap<>();
         for (Target t : mKnowledge.targets().all()) {
-            known.add(t.start());
-            if (!t.stays()) {
-                leaving.add(t.start());
-            }
+            known.put(t.start(), t);
             mContext.targets().limit(t, mKnowledge.config().pool(t.entry().pool()), routers());
         }
-        mContext.targets().tidy(known, leaving);
+        mContext.targets().tidy(known);
         CallerLimits limits = mKnowledge.config().limits();
         List.copyOf(mContext.connections()).forEach(c -> c.closeIfStale(now, limits));
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Targets.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Targets.java
@@ -11,7 +11,6 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 /** Keeps the connections to targets, a pool for each start of a target. */
 final class Targets {
@@ -48,16 +47,17 @@
      * Closes connections that are idle for long, all idle ones to targets that leave, and those to
      * targets that are not known.
      */
-    void tidy(Set<TargetStart> known, Set<TargetStart> leaving) {
+    void tidy(Map<TargetStart, Target> known) {
         Iterator<Map.Entry<TargetStart, ConnectionPool>> i = mPools.entrySet().iterator();
         while (i.hasNext()) {
             Map.Entry<TargetStart, ConnectionPool> e = i.next();
-            if (known.contains(e.getKey())) {
-                e.getValue().closeIdle(leaving.contains(e.getKey()) ? 0 : MAX_IDLE_MILLIS);
-            } else {
+            Target t = known.get(e.getKey());
+            if (t == null) {
                 e.getValue().close();
                 i.remove();
+                continue;
             }
+            e.getValue().closeIdle(t.stays() ? MAX_IDLE_MILLIS : 0);
         }
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Quarantine.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Quarantine.java
@@ -19,17 +19,17 @@
  * Keeps requests under which targets end from further targets, on all routers. Used on the event
  * loop.
  *
- * <p>An answer acquits: a request that ends its targets never gets one. Copies of one request that
- * were under way beside three ends of another cause had it refused for ten minutes, although the
- * other copies were answered right after. So an answer releases a request whatever was counted
- * against it before, here at once and on the other routers with the news and the row.
- *
  * <p>A request that ends each target that runs it would otherwise end the whole pool, since it
  * comes again at any router under a new id. Each router tells the others which targets ended under
  * which requests; whoever knows of three ends refuses the request at once, and writes a row that
  * outlasts all routers. The news goes with the loads, from router to router at random, so that an
  * end costs the fleet messages by the number of routers, not by its square.
  *
+ * <p>An answer acquits: a request that ends its targets never gets one. Copies of one request that
+ * were under way beside three ends of another cause had it refused for ten minutes, although the
+ * other copies were answered right after. So an answer releases a request whatever was counted
+ * against it before, here at once and on the other routers with the news and the row.
+ *
  * @since 0.5
  */
 public final class Quarantine extends FollowerBase {
@@ -136,14 +136,25 @@
 
     /** Notes that a target has answered a request. */
     public void onAnswered(long content) {
+        acquit(content, true);
+    }
+
+    /**
+     * Takes it in that a target has answered a request; tells it on only if something was held
+     * against the request.
+     */
+    private void acquit(long content, boolean sawIt) {
         boolean wasSuspect = mSuspects.onAnswered(content, now());
         boolean wasRefused = mRows.term(content).isPresent();
-        if (wasSuspect || wasRefused) {
+        if (!wasSuspect && !wasRefused) {
+            return;
+        }
+        if (sawIt) {
             mNews.removeIf(f -> f.content() == content);
-            mNews.add(CrashFact.answered(content));
         }
+        mNews.add(CrashFact.answered(content));
         if (wasRefused) {
-            release(content, true);
+            release(content, sawIt);
         }
     }
 
@@ -178,7 +189,7 @@
     void take(List<CrashFact> facts) {
         for (CrashFact f : facts) {
             if (f.isAnswered()) {
-                takeAnswered(f);
+                acquit(f.content(), false);
             } else if (suspect(f)) {
                 mNews.add(f);
                 onSuspected(f.content(), false);
@@ -186,17 +197,6 @@
         }
     }
 
-    private void takeAnswered(CrashFact f) {
-        boolean wasSuspect = mSuspects.onAnswered(f.content(), now());
-        boolean wasRefused = mRows.term(f.content()).isPresent();
-        if (wasSuspect || wasRefused) {
-            mNews.add(f);
-        }
-        if (wasRefused) {
-            release(f.content(), false);
-        }
-    }
-
     /** Counts an end of a target, and returns whether it was news. */
     private boolean suspect(CrashFact f) {
         return mRows.term(f.content()).isEmpty() && mSuspects.take(f, now());
