Tell in the lines which era and revision an answer of the store has

Cause: the routers' lines could not tell whether a list was read and passed over, or not read. Ruled out: nothing yet. Conclusion: with them the hypotheses can be told apart; no decision has changed.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpCalls.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpCalls.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
@@ -50,12 +51,13 @@
      * Holds a reply.
      *
      * @param status the status code
+     * @param headers the header fields
      * @param body the whole body
      */
-    public record Reply(int status, byte[] body) {
+    public record Reply(int status, HttpHeaders headers, byte[] body) {
         /** Returns a reply with another status. */
         public Reply withStatus(int other) {
-            return new Reply(other, body);
+            return new Reply(other, headers, body);
         }
     }
 
@@ -107,7 +109,7 @@
         private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
         private java.util.concurrent.Future<?> mTimer;
         private HttpConnection mConnection;
-        private int mStatus;
+        private HttpResponse mHead;
 
         Call(FullHttpRequest request) {
             mRequest = request;
@@ -130,7 +132,7 @@
 
         @Override
         public void onHead(HttpResponse head) {
-            mStatus = head.status().code();
+            mHead = head;
         }
 
         @Override
@@ -143,7 +145,7 @@
         @Override
         public void onEnd() {
             mTimer.cancel(false);
-            mReply.complete(new Reply(mStatus, mBody.toByteArray()));
+            mReply.complete(new Reply(mHead.status().code(), mHead.headers(), mBody.toByteArray()));
         }
 
         @Override
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigFollower.java
@@ -145,7 +145,7 @@
             onFailure(failure);
             return;
         }
-        watch().onAnswer();
+        watch().onAnswer(read.position());
         mFailures = 0;
         mRevision = Math.max(mRevision, read.revision());
         mConfirmedAt = now();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
@@ -128,13 +128,19 @@
             readIn(pauseAfter(++mFailures), this::start);
             return;
         }
-        watch().onAnswer();
+        watch().onAnswer(read.position());
         mFailures = 0;
         long now = now();
         mSourceOffset = now - read.readAt();
         TargetNews.Listed list = TargetNews.Listed.of(read.value());
         TargetNews news = TargetNews.between(mList.entries(), list, read.readAt(), read.revision());
         boolean first = !mListed;
+        if (read.revision() < mTargets.revision()) {
+            Event.of("list_passed_over")
+                    .with("read", read.position())
+                    .with("known", mTargets.revision())
+                    .log();
+        }
         take(list, read.revision(), now);
         mReadAt = read.readAt();
         mStepsLeft = 0;
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/QuarantineTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/QuarantineTest.java
@@ -8,6 +8,7 @@
 
 import org.forkseam.core.crash.CrashFact;
 import org.forkseam.core.crash.QuarantineTerm;
+import org.forkseam.core.store.StorePosition;
 import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.know.Quarantine.Verdict;
 import org.forkseam.direct.spi.SharedRow;
@@ -63,7 +64,12 @@
 
         @Override
         public CompletableFuture<Versioned<List<SharedRow>>> readAll() {
-            return reply(() -> new Versioned<>(mRevision.get(), 0, List.copyOf(mAll.values())));
+            return reply(
+                    () ->
+                            new Versioned<>(
+                                    StorePosition.of(0, mRevision.get()),
+                                    0,
+                                    List.copyOf(mAll.values())));
         }
 
         @Override
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/RowFollowerTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/RowFollowerTest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 
+import org.forkseam.core.store.StorePosition;
 import org.forkseam.core.util.Clock;
 import org.forkseam.direct.spi.SharedRow;
 import org.forkseam.direct.spi.SharedRows;
@@ -41,7 +42,8 @@
         @Override
         public CompletableFuture<Versioned<List<SharedRow>>> readAll() {
             mReads++;
-            return CompletableFuture.completedFuture(new Versioned<>(10, 1, List.copyOf(mAll)));
+            return CompletableFuture.completedFuture(
+                    new Versioned<>(StorePosition.of(0, 10), 1, List.copyOf(mAll)));
         }
 
         @Override
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/TargetFollowerTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/TargetFollowerTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.nio.NioIoHandler;
 
 import org.forkseam.core.member.TargetEntry;
+import org.forkseam.core.store.StorePosition;
 import org.forkseam.core.util.Clock;
 import org.forkseam.direct.spi.FleetSource;
 import org.forkseam.direct.spi.OperatorState;
@@ -68,7 +69,8 @@
             }
             return mAway
                     ? CompletableFuture.failedFuture(SourceException.of("away"))
-                    : CompletableFuture.completedFuture(new Versioned<>(mRevision, 0, mList));
+                    : CompletableFuture.completedFuture(
+                            new Versioned<>(StorePosition.of(0, mRevision), 0, mList));
         }
 
         @Override
