Order lists of targets by the era of the store, and hold what was known of starts before it

Callers saw: requests reached a target 2.3 s after its row had said that it leaves (2 s allowed). Cause: lists were ordered by the store's revision alone. When the store came back from an older copy, revisions went back, and each list was passed over until the counter had passed the old one. Ruled out: lists not read (list_passed_over at each read); a target kept on purpose (its row is there and says so). Why this holds: a position is era and revision, compared in one place; a later era is newer whatever its revision. Since the copy's rows may be old, a start known to leave stays leaving, one known to be over is passed over until nobody's rows have lapsed, an earlier start does not take the place of a later one, and targets that the copy lacks are kept as after an outage. Replaced checks: sizes of messages (PeerNoticeTest: 18 to 22 bytes), revisions of lists in tests are positions now.

--- a/forkseam-core/src/main/java/org/forkseam/core/member/Availability.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Availability.java
@@ -58,6 +58,14 @@
         return new Availability(mListed, leaving, mSaysLeaving, mReplaced, mHoldOffUntil);
     }
 
+    /**
+     * Returns the same with the row's word that the target leaves kept as its own: an older copy of
+     * the row does not take it back.
+     */
+    public Availability withRowWordKept() {
+        return mRowLeaving ? withSaysLeaving() : this;
+    }
+
     /** Returns the same with an answer's word that the target leaves. */
     public Availability withSaysLeaving() {
         return new Availability(mListed, mRowLeaving, true, mReplaced, mHoldOffUntil);
--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -87,6 +87,11 @@
         mColdUntil = mEntry.coldMillis() > 0 ? nowMillis + mEntry.coldMillis() : NEVER;
     }
 
+    /** Takes in that rows may come back as they were some time ago. */
+    void onStoreReturned() {
+        mAvailability = mAvailability.withRowWordKept();
+    }
+
     /** Takes in that the newest list does not hold it: it gets no new work. */
     void onUnlisted() {
         mAvailability = mAvailability.withListed(false);
--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
@@ -1,5 +1,6 @@
 package org.forkseam.core.member;
 
+import org.forkseam.core.store.StorePosition;
 import org.forkseam.core.util.BoundedMap;
 
 import java.util.ArrayList;
@@ -14,8 +15,10 @@
  * Keeps the targets that this router knows, by the newest list it has read.
  *
  * <p>A target that is missing from a list has left, unless the lists' source was away a short while
- * ago: entries lapse during an outage although their targets live, and come back soon after. Used
- * on one thread.
+ * ago: entries lapse during an outage although their targets live, and come back soon after. A
+ * source that has come back from an older copy may lack entries for as long, and may hold those of
+ * targets that have left: what was known of a start of a target before holds on. Used on one
+ * thread.
  *
  * @since 0.2
  */
@@ -44,15 +47,25 @@
     /** Starts told to be leaving that no list has held yet. A target may be told of early. */
     private static final int MAX_TOLD = 256;
 
+    /**
+     * A row that nobody writes any more lapses after three heartbeats of about a second; until then
+     * a copy's row of a target that was known to have gone says nothing.
+     */
+    private static final long COPIED_ROW_MILLIS = 5_000;
+
     private final Map<String, Target> mById = new HashMap<>();
     private final Map<String, List<Target>> mByPool = new HashMap<>();
     private final Map<Integer, Target> mByShortHash = new HashMap<>();
     private final BoundedMap<String, Unlisted> mUnlisted = BoundedMap.byInsertion(MAX_UNLISTED);
     private final BoundedMap<Integer, Boolean> mToldLeaving = BoundedMap.byInsertion(MAX_TOLD);
+    private final BoundedMap<TargetStart, Integer> mOverInEra =
+            BoundedMap.byInsertion(MAX_UNLISTED);
     private Set<String> mEvacuated = Set.of();
     private boolean mKeepsMissing;
-    private long mRevision = -1;
+    private StorePosition mPosition = StorePosition.NONE;
     private long mKeepMissingUntil = Long.MIN_VALUE;
+    private boolean mPassesOver;
+    private long mPassOverUntil = Long.MIN_VALUE;
 
     private TargetDirectory() {}
 
@@ -81,16 +94,25 @@
     /**
      * Takes a list in and returns what it changed; a list older than one already taken is ignored.
      *
-     * @param revision grows with each change of the source
+     * @param position of the list in the source's history
      */
-    public List<TargetChange> apply(long revision, Collection<TargetEntry> entries, long now) {
-        if (revision < mRevision) {
+    public List<TargetChange> apply(
+            StorePosition position, Collection<TargetEntry> entries, long now) {
+        if (position.isBefore(mPosition)) {
             return List.of();
         }
-        mRevision = revision;
+        if (isReturn(position)) {
+            onSourceReturned(now);
+        }
+        mPosition = position;
+        mPassesOver = false;
         List<TargetChange> changes = new ArrayList<>();
         Map<String, TargetEntry> listed = new HashMap<>();
         for (TargetEntry e : entries) {
+            if (isCopied(e.start(), now)) {
+                mPassesOver = true;
+                continue;
+            }
             listed.put(e.id(), e);
             take(e, now).ifPresent(changes::add);
         }
@@ -102,6 +124,18 @@
         return changes;
     }
 
+    private boolean isReturn(StorePosition position) {
+        return position.isOfLaterEraThan(mPosition) && !mPosition.equals(StorePosition.NONE);
+    }
+
+    /** What the source held last is gone, until those who wrote it have done so again. */
+    private void onSourceReturned(long now) {
+        mKeepMissingUntil = now + LAPSED_BACK_MILLIS;
+        mPassOverUntil = now + COPIED_ROW_MILLIS;
+        mById.values().forEach(Target::onStoreReturned);
+        mUnlisted.values().forEach(u -> u.target().onStoreReturned());
+    }
+
     /** Returns whether targets are kept for a while that the newest list does not hold. */
     public boolean keepsMissing() {
         return mKeepsMissing;
@@ -112,6 +146,26 @@
         return mKeepMissingUntil;
     }
 
+    /** Returns whether the newest list holds targets that are passed over for a while. */
+    public boolean passesOver() {
+        return mPassesOver;
+    }
+
+    /** Returns until when a copy's rows of starts that are over are passed over. */
+    public long passOverUntil() {
+        return mPassOverUntil;
+    }
+
+    /** Returns whether a row tells of a start that was over before the source came back. */
+    private boolean isCopied(TargetStart start, long now) {
+        Integer era = mOverInEra.get(start);
+        return now < mPassOverUntil && era != null && era < mPosition.era();
+    }
+
+    private void noteOver(Target t) {
+        mOverInEra.put(t.start(), mPosition.era());
+    }
+
     private Optional<TargetChange> take(TargetEntry e, long now) {
         Target known = mById.get(e.id());
         if (known == null || !known.start().equals(e.start())) {
@@ -141,7 +195,9 @@
         }
         markEvacuated(joined, now);
         mById.put(e.id(), joined);
+        mOverInEra.remove(e.start());
         if (before != null) {
+            noteOver(before);
             before.onUnlisted(); // requests that wait for a connection to it are placed anew
         }
         boolean restarted = before != null || left != null && !known;
@@ -156,6 +212,7 @@
                 continue;
             }
             t.onUnlisted();
+            noteOver(t);
             mUnlisted.put(t.entry().id(), new Unlisted(t, now));
             mById.remove(t.entry().id());
             changes.add(new TargetChange(t.entry(), TargetChange.Kind.GONE));
@@ -229,9 +286,9 @@
         return findReachable(start.id(), nowMillis).filter(t -> t.start().equals(start));
     }
 
-    /** Returns the revision of the newest list taken, or -1. */
-    public long revision() {
-        return mRevision;
+    /** Returns where in the source's history the newest list taken was read. */
+    public StorePosition position() {
+        return mPosition;
     }
 
     /** Holds a target that is not listed any more. */
--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetEntry.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetEntry.java
@@ -39,6 +39,11 @@
         this(id, pool, address, domain, slots, leaving, coldMillis, 0);
     }
 
+    /** Returns the entry of the same target as one that leaves. */
+    public TargetEntry withLeaving() {
+        return new TargetEntry(id, pool, address, domain, slots, true, coldMillis, born);
+    }
+
     /** Returns which start of the target it is the entry of. */
     public TargetStart start() {
         return new TargetStart(id, born);
--- a/forkseam-core/src/main/java/org/forkseam/core/share/TargetNews.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/share/TargetNews.java
@@ -1,6 +1,8 @@
 package org.forkseam.core.share;
 
 import org.forkseam.core.member.TargetEntry;
+import org.forkseam.core.store.StorePosition;
+import org.forkseam.core.store.StoreTime;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -20,7 +22,7 @@
  * 0.75 MB within 53 seconds.
  *
  * @param readAt the store's steady clock when the newer list was read, milliseconds
- * @param revision of the newer list
+ * @param position of the newer list in the store's history
  * @param after fingerprint of the newer list
  * @param more steps of the same change that follow
  * @param changed entries that are new or differ
@@ -29,7 +31,7 @@
  */
 public record TargetNews(
         long readAt,
-        long revision,
+        StorePosition position,
         long after,
         int more,
         List<TargetEntry> changed,
@@ -50,7 +52,7 @@
 
     /** Returns what a newer list changed. */
     public static TargetNews between(
-            List<TargetEntry> older, Listed newer, long readAt, long revision) {
+            List<TargetEntry> older, Listed newer, long readAt, StorePosition position) {
         Map<String, TargetEntry> known = new HashMap<>();
         older.forEach(e -> known.put(e.id(), e));
         List<TargetEntry> changed = new ArrayList<>();
@@ -62,13 +64,18 @@
         }
         return new TargetNews(
                 readAt,
-                revision,
+                position,
                 newer.fingerprint(),
                 0,
                 List.copyOf(changed),
                 List.copyOf(known.keySet()));
     }
 
+    /** Returns when the newer list was read. */
+    public StoreTime readTime() {
+        return StoreTime.of(position.era(), readAt);
+    }
+
     /** Returns a hash of a list, whatever its order. */
     public static long fingerprint(List<TargetEntry> entries) {
         long sum = 0;
@@ -98,11 +105,11 @@
         int left = steps(changed.size(), most) + steps(removed.size(), most);
         for (int i = 0; i < changed.size(); i += most) {
             List<TargetEntry> some = changed.subList(i, Math.min(changed.size(), i + most));
-            steps.add(new TargetNews(readAt, revision, after, --left, some, List.of()));
+            steps.add(new TargetNews(readAt, position, after, --left, some, List.of()));
         }
         for (int i = 0; i < removed.size(); i += most) {
             List<String> some = removed.subList(i, Math.min(removed.size(), i + most));
-            steps.add(new TargetNews(readAt, revision, after, --left, List.of(), some));
+            steps.add(new TargetNews(readAt, position, after, --left, List.of(), some));
         }
         return steps;
     }
--- a/forkseam-core/src/test/java/org/forkseam/core/member/AvailabilityOrdersTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/member/AvailabilityOrdersTest.java
@@ -7,6 +7,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 
+import org.forkseam.core.store.StorePosition;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -135,7 +137,7 @@
         }
 
         void read(Router r) {
-            r.mDirectory.apply(mRevision, List.copyOf(mRows.values()), mNow);
+            r.mDirectory.apply(StorePosition.of(0, mRevision), List.copyOf(mRows.values()), mNow);
             r.mListed = Map.copyOf(mRows);
             r.mListed.keySet().forEach(id -> r.mUnderWay.add(r.find(id).orElseThrow()));
         }
--- a/forkseam-core/src/test/java/org/forkseam/core/member/TargetDirectoryTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/member/TargetDirectoryTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import org.forkseam.core.store.StorePosition;
 import org.junit.jupiter.api.Test;
 
 import java.util.List;
@@ -23,43 +24,44 @@
 
     @Test
     void aLeavingTargetTakesNoWork() {
-        mDirectory.apply(1, List.of(entry("a", false)), 0);
-        mDirectory.apply(2, List.of(entry("a", true)), 10);
+        mDirectory.apply(StorePosition.of(0, 1), List.of(entry("a", false)), 0);
+        mDirectory.apply(StorePosition.of(0, 2), List.of(entry("a", true)), 10);
         assertThat(takesWork("a")).isFalse();
     }
 
     @Test
     void aMissingTargetTakesNoWork() {
-        mDirectory.apply(1, List.of(entry("a", false)), 0);
+        mDirectory.apply(StorePosition.of(0, 1), List.of(entry("a", false)), 0);
         Target a = mDirectory.find("a").orElseThrow();
-        mDirectory.apply(2, List.of(), 10);
+        mDirectory.apply(StorePosition.of(0, 2), List.of(), 10);
         assertThat(takesWork("a")).isFalse();
         assertThat(a.takesWork(NOW)).isFalse();
     }
 
     @Test
     void anOlderListChangesNothing() {
-        mDirectory.apply(5, List.of(entry("a", true)), 0);
-        assertThat(mDirectory.apply(4, List.of(entry("a", false)), 10)).isEmpty();
+        mDirectory.apply(StorePosition.of(0, 5), List.of(entry("a", true)), 0);
+        assertThat(mDirectory.apply(StorePosition.of(0, 4), List.of(entry("a", false)), 10))
+                .isEmpty();
         assertThat(takesWork("a")).isFalse();
     }
 
     @Test
     void entriesThatLapsedInAnOutageAreKeptUntilTheyAreBack() {
-        mDirectory.apply(1, List.of(entry("a", false)), 0);
+        mDirectory.apply(StorePosition.of(0, 1), List.of(entry("a", false)), 0);
         mDirectory.onSourceBack(6_000, 5_000);
-        mDirectory.apply(2, List.of(), 6_010);
+        mDirectory.apply(StorePosition.of(0, 2), List.of(), 6_010);
         assertThat(takesWork("a")).isTrue();
-        mDirectory.apply(3, List.of(), 8_200);
+        mDirectory.apply(StorePosition.of(0, 3), List.of(), 8_200);
         assertThat(takesWork("a")).isFalse();
     }
 
     /** One failed call to the store kept targets that had left for two seconds. */
     @Test
     void aFailedCallIsNoOutage() {
-        mDirectory.apply(1, List.of(entry("a", false)), 0);
+        mDirectory.apply(StorePosition.of(0, 1), List.of(entry("a", false)), 0);
         mDirectory.onSourceBack(1_200, 1_100);
-        mDirectory.apply(2, List.of(), 1_210);
+        mDirectory.apply(StorePosition.of(0, 2), List.of(), 1_210);
         assertThat(takesWork("a")).isFalse();
     }
 
@@ -69,30 +71,31 @@
      */
     @Test
     void keptEntriesAreToBeLookedAtAgain() {
-        mDirectory.apply(1, List.of(entry("a", false)), 0);
+        mDirectory.apply(StorePosition.of(0, 1), List.of(entry("a", false)), 0);
         assertThat(mDirectory.keepsMissing()).isFalse();
         mDirectory.onSourceBack(6_000, 5_000);
-        mDirectory.apply(2, List.of(), 6_010);
+        mDirectory.apply(StorePosition.of(0, 2), List.of(), 6_010);
         assertThat(mDirectory.keepsMissing()).isTrue();
-        mDirectory.apply(2, List.of(), 8_200);
+        mDirectory.apply(StorePosition.of(0, 2), List.of(), 8_200);
         assertThat(mDirectory.keepsMissing()).isFalse();
     }
 
     @Test
     void changesAreTold() {
-        assertThat(mDirectory.apply(1, List.of(entry("a", false)), 0))
+        assertThat(mDirectory.apply(StorePosition.of(0, 1), List.of(entry("a", false)), 0))
                 .containsExactly(new TargetChange(entry("a", false), TargetChange.Kind.JOINED));
-        assertThat(mDirectory.apply(2, List.of(entry("a", true)), 1))
+        assertThat(mDirectory.apply(StorePosition.of(0, 2), List.of(entry("a", true)), 1))
                 .containsExactly(new TargetChange(entry("a", true), TargetChange.Kind.LEAVING));
-        assertThat(mDirectory.apply(3, List.of(), 2))
+        assertThat(mDirectory.apply(StorePosition.of(0, 3), List.of(), 2))
                 .containsExactly(new TargetChange(entry("a", true), TargetChange.Kind.GONE));
     }
 
     @Test
     void targetsOfAnEvacuatedDomainStayAndTakeNoWork() {
-        mDirectory.apply(1, List.of(entry("a", false)), 0);
+        mDirectory.apply(StorePosition.of(0, 1), List.of(entry("a", false)), 0);
         mDirectory.setEvacuated(Set.of("z"), 5);
-        mDirectory.apply(2, List.of(entry("a", false), entry("late", false)), 10);
+        mDirectory.apply(
+                StorePosition.of(0, 2), List.of(entry("a", false), entry("late", false)), 10);
         assertThat(takesWork("a")).isFalse();
         assertThat(takesWork("late")).isFalse();
         assertThat(mDirectory.find("a").orElseThrow().stays()).isTrue();
@@ -114,14 +117,15 @@
     /** Nothing that was learned of a target holds once it has started again. */
     @Test
     void aTargetThatStartsAgainBeginsAnew() {
-        mDirectory.apply(1, List.of(born("a", 5_000)), 0);
+        mDirectory.apply(StorePosition.of(0, 1), List.of(born("a", 5_000)), 0);
         Target before = a();
         before.onSent(10);
         before.onLoad(40, 10);
         before.onRefused(10);
         before.health().onFailure(10);
         before.onReplaced();
-        List<TargetChange> changes = mDirectory.apply(2, List.of(born("a", 6_000)), 20);
+        List<TargetChange> changes =
+                mDirectory.apply(StorePosition.of(0, 2), List.of(born("a", 6_000)), 20);
         assertThat(changes)
                 .containsExactly(new TargetChange(born("a", 6_000), TargetChange.Kind.RESTARTED));
         assertThat(a()).isNotSameInstanceAs(before);
@@ -136,19 +140,20 @@
     /** The time of day of a host may have stepped back: the newer list decides. */
     @Test
     void aLaterStartMayHaveASmallerNumber() {
-        mDirectory.apply(1, List.of(born("a", 6_000)), 0);
-        mDirectory.apply(3, List.of(born("a", 4_000)), 10);
+        mDirectory.apply(StorePosition.of(0, 1), List.of(born("a", 6_000)), 0);
+        mDirectory.apply(StorePosition.of(0, 3), List.of(born("a", 4_000)), 10);
         assertThat(a().entry().born()).isEqualTo(4_000);
-        assertThat(mDirectory.apply(2, List.of(born("a", 6_000)), 20)).isEmpty();
+        assertThat(mDirectory.apply(StorePosition.of(0, 2), List.of(born("a", 6_000)), 20))
+                .isEmpty();
         assertThat(a().entry().born()).isEqualTo(4_000);
     }
 
     /** What other routers told of the start before arrives late, and names nothing any more. */
     @Test
     void newsOfAnEarlierStartNameNoTarget() {
-        mDirectory.apply(1, List.of(born("a", 5_000)), 0);
+        mDirectory.apply(StorePosition.of(0, 1), List.of(born("a", 5_000)), 0);
         int earlier = a().shortHash();
-        mDirectory.apply(2, List.of(born("a", 6_000)), 10);
+        mDirectory.apply(StorePosition.of(0, 2), List.of(born("a", 6_000)), 10);
         assertThat(mDirectory.findByShortHash(earlier).isPresent()).isFalse();
         assertThat(mDirectory.findByShortHash(a().shortHash()).isPresent()).isTrue();
         assertThat(mDirectory.findReachable(new TargetStart("a", 5_000), 10).isPresent()).isFalse();
@@ -157,9 +162,13 @@
 
     @Test
     void anEntryThatLapsedMayComeBackWithTheSameStartOrAnother() {
-        mDirectory.apply(1, List.of(born("a", 5_000), born("b", 5_000)), 0);
-        mDirectory.apply(2, List.of(), 10);
-        assertThat(mDirectory.apply(3, List.of(born("a", 5_000), born("b", 7_000)), 20))
+        mDirectory.apply(StorePosition.of(0, 1), List.of(born("a", 5_000), born("b", 5_000)), 0);
+        mDirectory.apply(StorePosition.of(0, 2), List.of(), 10);
+        assertThat(
+                        mDirectory.apply(
+                                StorePosition.of(0, 3),
+                                List.of(born("a", 5_000), born("b", 7_000)),
+                                20))
                 .containsExactly(
                         new TargetChange(born("a", 5_000), TargetChange.Kind.JOINED),
                         new TargetChange(born("b", 7_000), TargetChange.Kind.RESTARTED));
@@ -169,8 +178,8 @@
     @Test
     void aTargetThatStartsAgainStaysEvacuated() {
         mDirectory.setEvacuated(Set.of("z"), 0);
-        mDirectory.apply(1, List.of(born("a", 5_000)), 0);
-        mDirectory.apply(2, List.of(born("a", 6_000)), 10);
+        mDirectory.apply(StorePosition.of(0, 1), List.of(born("a", 5_000)), 0);
+        mDirectory.apply(StorePosition.of(0, 2), List.of(born("a", 6_000)), 10);
         assertThat(a().takesWork(NOW)).isFalse();
     }
 }
--- a/forkseam-core/src/test/java/org/forkseam/core/route/HolderMemoryTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/HolderMemoryTest.java
@@ -6,6 +6,7 @@
 import org.forkseam.core.member.TargetDirectory;
 import org.forkseam.core.member.TargetEntry;
 import org.forkseam.core.member.TargetStart;
+import org.forkseam.core.store.StorePosition;
 import org.junit.jupiter.api.Test;
 
 import java.util.List;
@@ -19,7 +20,7 @@
     private final TargetDirectory mDirectory = TargetDirectory.create();
 
     HolderMemoryTest() {
-        mDirectory.apply(1, List.of(entry("a"), entry("b"), entry("c")), 0);
+        mDirectory.apply(StorePosition.of(0, 1), List.of(entry("a"), entry("b"), entry("c")), 0);
     }
 
     private static TargetEntry entry(String id) {
@@ -58,7 +59,7 @@
         mMemory.onAnswered(KEY, start("a"), 10);
         mMemory.onAnswered(KEY, start("b"), 20);
         TargetEntry again = new TargetEntry("b", "pool", "10.0.0.1:1", "z", 8, false, 0, 1_000);
-        mDirectory.apply(2, List.of(entry("a"), again, entry("c")), 50);
+        mDirectory.apply(StorePosition.of(0, 2), List.of(entry("a"), again, entry("c")), 50);
         assertThat(source("c", 100, "c")).isEqualTo(Optional.of("a"));
         assertThat(source("b", 100, "b")).isEqualTo(Optional.of("a"));
         mMemory.onAnswered(KEY, again.start(), 110);
@@ -86,7 +87,7 @@
     void aTargetThatLeftWithoutAWordIsASourceForAMoment() {
         mMemory.onAnswered(KEY, start("a"), 10);
         target("a").onHeard(1_000);
-        mDirectory.apply(2, List.of(entry("b"), entry("c")), 1_500);
+        mDirectory.apply(StorePosition.of(0, 2), List.of(entry("b"), entry("c")), 1_500);
         assertThat(source("c", 2_000, "c")).isEqualTo(Optional.of("a"));
         assertThat(source("c", 9_000, "c")).isEqualTo(Optional.empty());
     }
--- a/forkseam-core/src/test/java/org/forkseam/core/share/LeavingNewsTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/share/LeavingNewsTest.java
@@ -5,6 +5,7 @@
 import org.forkseam.core.member.Target;
 import org.forkseam.core.member.TargetDirectory;
 import org.forkseam.core.member.TargetEntry;
+import org.forkseam.core.store.StorePosition;
 import org.junit.jupiter.api.Test;
 
 import java.util.ArrayList;
@@ -40,7 +41,7 @@
 
         Router() {
             TargetEntry e = new TargetEntry("t", "p", "10.0.0.1:1", "z", 8, false, 0, 1);
-            mTargets.apply(1, List.of(e), 0);
+            mTargets.apply(StorePosition.of(0, 1), List.of(e), 0);
             mTarget = mTargets.find("t").orElseThrow();
         }
 
--- a/forkseam-core/src/test/java/org/forkseam/core/share/TargetNewsTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/share/TargetNewsTest.java
@@ -8,6 +8,7 @@
 import net.jqwik.api.constraints.Size;
 
 import org.forkseam.core.member.TargetEntry;
+import org.forkseam.core.store.StorePosition;
 import org.junit.jupiter.api.Test;
 
 import java.util.ArrayList;
@@ -29,7 +30,8 @@
 
     private static TargetNews between(
             List<TargetEntry> older, List<TargetEntry> newer, long readAt) {
-        return TargetNews.between(older, TargetNews.Listed.of(newer), readAt, readAt);
+        return TargetNews.between(
+                older, TargetNews.Listed.of(newer), readAt, StorePosition.of(0, readAt));
     }
 
     /** Takes news in, or returns empty if the list is to be read. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/FlowRecord.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/FlowRecord.java
@@ -58,7 +58,7 @@
                         + " ("
                         + t.readingAgeMillis(now())
                         + " ms old), list "
-                        + mContext.knowledge().targets().revision(),
+                        + mContext.knowledge().targets().position(),
                 t.entry().id());
     }
 
@@ -117,6 +117,6 @@
                 .with("rank", c.pick().rank())
                 .with("load", c.pick().load())
                 .with("load_age_ms", t.readingAgeMillis(now()))
-                .with("list", mContext.knowledge().targets().revision());
+                .with("list", mContext.knowledge().targets().position());
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -171,7 +171,7 @@
         m.put("config_age_ms", now - mConfig.confirmedAt());
         m.put("routes", config().routeCount());
         m.put("evacuated", evacuated());
-        m.put("list_revision", targets().revision());
+        m.put("list_revision", targets().position().toString());
         m.put("list_age_ms", now - mTargets.confirmedAt());
         m.put("targets", targets().all().size());
         m.put("unusable_entries", mUnusable.get());
@@ -355,7 +355,7 @@
         }
         mConfig.offer(s.config(), "peer");
         mConfig.offerEvacuations(s.evacuations().revision(), s.evacuations().domains(), "peer");
-        mTargets.onSnapshot(s.listRevision(), s.targets());
+        mTargets.onSnapshot(s.listPosition(), s.targets());
         mRows.onSnapshot(s.rows());
     }
 
@@ -364,17 +364,22 @@
         if (!isComplete()) {
             return Optional.empty();
         }
-        List<TargetEntry> entries = targets().all().stream().map(Target::entry).toList();
+        List<TargetEntry> entries = targets().all().stream().map(Knowledge::told).toList();
         return Optional.of(
                 PeerSnapshot.of(
                                 config(),
-                                targets().revision(),
+                                targets().position(),
                                 entries,
                                 mRows.known(),
                                 mConfig.evacuations())
                         .write());
     }
 
+    /** Tells of a target that leaves as leaving, also where its row does not say so. */
+    private static TargetEntry told(Target t) {
+        return t.availability().isLeaving() ? t.entry().withLeaving() : t.entry();
+    }
+
     // ---------------------------------------------------------------- the source itself
 
     private void onSourceBack() {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
@@ -8,6 +8,7 @@
 import org.forkseam.core.share.HolderFact;
 import org.forkseam.core.share.LoadReading;
 import org.forkseam.core.share.TargetNews;
+import org.forkseam.core.store.StorePosition;
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.SharedRow;
 
@@ -26,7 +27,7 @@
     static final int MAX_BYTES = 1_400;
 
     /** First byte of a datagram; another stands for another format. */
-    static final int FORMAT = 3;
+    static final int FORMAT = 4;
 
     // The numbers below these are the kinds of PeerNotice.
     private static final int TARGETS = 16;
@@ -86,6 +87,14 @@
         return Unpooled.buffer().writeByte(FORMAT).writeByte(kind);
     }
 
+    private static void write(ByteBuf b, StorePosition p) {
+        b.writeInt(p.era()).writeLong(p.revision());
+    }
+
+    private static StorePosition readPosition(ByteBuf b) {
+        return StorePosition.of(b.readInt(), b.readLong());
+    }
+
     // ---------------------------------------------------------------- operators
 
     private static ByteBuf writeOperators(PeerMessage.Operators o) {
@@ -105,7 +114,9 @@
 
     private static ByteBuf writeTargets(TargetNews n) {
         ByteBuf b = begin(TARGETS);
-        b.writeLong(n.readAt()).writeLong(n.revision()).writeLong(n.after());
+        b.writeLong(n.readAt());
+        write(b, n.position());
+        b.writeLong(n.after());
         b.writeShort(n.more());
         b.writeShort(n.changed().size());
         for (TargetEntry e : n.changed()) {
@@ -122,7 +133,7 @@
 
     private static PeerMessage readTargets(ByteBuf b) {
         long readAt = b.readLong();
-        long revision = b.readLong();
+        StorePosition position = readPosition(b);
         long after = b.readLong();
         int more = b.readUnsignedShort();
         List<TargetEntry> changed = new ArrayList<>();
@@ -139,7 +150,7 @@
                             b.readLong()));
         }
         return new PeerMessage.Targets(
-                new TargetNews(readAt, revision, after, more, changed, Texts.readAll(b)));
+                new TargetNews(readAt, position, after, more, changed, Texts.readAll(b)));
     }
 
     // ---------------------------------------------------------------- rows
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerNotice.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerNotice.java
@@ -3,6 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 
+import org.forkseam.core.store.StoreTime;
+
 import java.util.Arrays;
 import java.util.Optional;
 
@@ -11,11 +13,11 @@
  * need not read it again; whoever does not reads at once.
  *
  * @param kind what was read
- * @param readAt the store's own steady clock when it was read, in milliseconds
+ * @param readAt when it was read
  * @param fingerprint a hash of what was read
  */
-record PeerNotice(Kind kind, long readAt, long fingerprint) implements PeerMessage {
-    private static final int BYTES = 2 + 2 * Long.BYTES;
+record PeerNotice(Kind kind, StoreTime readAt, long fingerprint) implements PeerMessage {
+    private static final int BYTES = 2 + Integer.BYTES + 2 * Long.BYTES;
 
     /** Says what was read. */
     enum Kind {
@@ -37,7 +39,8 @@
         return Unpooled.buffer(BYTES)
                 .writeByte(PeerCodec.FORMAT)
                 .writeByte(kind.mCode)
-                .writeLong(readAt)
+                .writeInt(readAt.era())
+                .writeLong(readAt.millis())
                 .writeLong(fingerprint);
     }
 
@@ -46,6 +49,7 @@
         if (b.readableBytes() != BYTES || b.readByte() != PeerCodec.FORMAT) {
             return Optional.empty();
         }
-        return Kind.of(b.readByte()).map(k -> new PeerNotice(k, b.readLong(), b.readLong()));
+        return Kind.of(b.readByte())
+                .map(k -> new PeerNotice(k, StoreTime.of(b.readInt(), b.readLong()), b.readLong()));
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerSnapshot.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerSnapshot.java
@@ -5,6 +5,7 @@
 
 import org.forkseam.core.member.Evacuations;
 import org.forkseam.core.member.TargetEntry;
+import org.forkseam.core.store.StorePosition;
 import org.forkseam.core.traffic.CallerLimits;
 import org.forkseam.core.traffic.Pool;
 import org.forkseam.core.traffic.Route;
@@ -27,7 +28,7 @@
  * @param pools of the configuration
  * @param teams of the configuration, by key
  * @param limits of the configuration
- * @param listRevision of the list of targets
+ * @param listPosition of the list of targets in the store's history
  * @param targets the list
  * @param rows those that routers share, with the seats of engine pools
  * @param evacuations failure domains that get no new work
@@ -38,7 +39,7 @@
         List<Pool> pools,
         Map<String, KeyTeam> teams,
         CallerLimits limits,
-        long listRevision,
+        StorePosition listPosition,
         List<TargetEntry> targets,
         List<SharedRow> rows,
         KnownEvacuations evacuations) {
@@ -68,7 +69,7 @@
 
     static PeerSnapshot of(
             TrafficConfig c,
-            long listRevision,
+            StorePosition listPosition,
             List<TargetEntry> targets,
             List<SharedRow> rows,
             Evacuations evacuations) {
@@ -88,7 +89,7 @@
                 c.pools(),
                 teams,
                 c.limits(),
-                listRevision,
+                listPosition,
                 targets,
                 rows,
                 KnownEvacuations.of(evacuations));
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
@@ -4,6 +4,8 @@
 import org.forkseam.core.member.TargetDirectory;
 import org.forkseam.core.member.TargetEntry;
 import org.forkseam.core.share.TargetNews;
+import org.forkseam.core.store.StorePosition;
+import org.forkseam.core.store.StoreTime;
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.FleetSource;
 import org.forkseam.direct.spi.Versioned;
@@ -39,7 +41,7 @@
     private long mPauseMillis;
     private TargetNews.Listed mList = TargetNews.Listed.of(List.of());
     private final Consumer<String> mOnRestart;
-    private long mReadAt = Long.MIN_VALUE;
+    private StoreTime mReadAt = StoreTime.NEVER;
     private int mStepsLeft;
     private int mFailures;
     private long mConfirmedAt;
@@ -49,6 +51,7 @@
     private int mReads;
     private long mTriedAt = Long.MIN_VALUE / 2;
     private Future<?> mNext;
+    private Future<?> mDecision;
 
     /**
      * Creates a follower that knows nothing yet.
@@ -132,44 +135,66 @@
         mFailures = 0;
         long now = now();
         mSourceOffset = now - read.readAt();
-        TargetNews.Listed list = TargetNews.Listed.of(read.value());
-        TargetNews news = TargetNews.between(mList.entries(), list, read.readAt(), read.revision());
-        boolean first = !mListed;
-        if (read.revision() < mTargets.revision()) {
+        if (read.position().isBefore(mTargets.position())) {
             Event.of("list_passed_over")
                     .with("read", read.position())
-                    .with("known", mTargets.revision())
+                    .with("known", mTargets.position())
                     .log();
+            readNext();
+            return;
         }
-        take(list, read.revision(), now);
-        mReadAt = read.readAt();
+        TargetNews.Listed list = TargetNews.Listed.of(read.value());
+        TargetNews news = TargetNews.between(mList.entries(), list, read.readAt(), read.position());
+        boolean first = !mListed;
+        take(list, read.position(), now);
+        mReadAt = read.readTime();
         mStepsLeft = 0;
         if (telling == Telling.ALL) {
             tell(first ? List.of() : news.inSteps(STEP_ENTRIES), news);
         }
-        readNext(now);
+        readNext();
+    }
+
+    private void readNext() {
+        readIn(mPauseMillis + spread(), this::readIfDue);
     }
 
     /**
-     * Plans the next read: when the time is over for which targets are kept whose rows may have
-     * lapsed, if that is sooner than the regular read. Until the next regular one, a target that
-     * had left was kept for up to a second more than the promise allows.
+     * Plans a read for when the time is over for which targets are kept whose rows may have lapsed,
+     * or passed over whose rows may be old. Until the next regular one, a target that had left was
+     * kept for up to a second more than the promise allows.
      */
-    private void readNext(long now) {
-        long regular = mPauseMillis + spread();
-        long untilDecided = mTargets.keepMissingUntil() - now;
-        if (mTargets.keepsMissing() && untilDecided < regular) {
-            readIn(Math.max(0, untilDecided), () -> read(Telling.NOBODY));
-        } else {
-            readIn(regular, this::readIfDue);
+    private void planDecision() {
+        long wait = untilDecided(now());
+        if (wait < Long.MAX_VALUE && (mDecision == null || mDecision.isDone())) {
+            mDecision = later(Math.max(0, wait), this::decide);
+        }
+    }
+
+    private void decide() {
+        if (untilDecided(now()) < Long.MAX_VALUE) {
+            read(Telling.NOBODY);
+        }
+    }
+
+    /** Returns after how long what is kept or passed over is decided; at most never. */
+    private long untilDecided(long now) {
+        long until = Long.MAX_VALUE;
+        if (mTargets.keepsMissing()) {
+            until = mTargets.keepMissingUntil() - now;
+        }
+        if (mTargets.passesOver()) {
+            until = Math.min(until, mTargets.passOverUntil() - now);
         }
+        return until;
     }
 
-    private void take(TargetNews.Listed list, long revision, long confirmedAt) {
+    private void take(TargetNews.Listed list, StorePosition position, long confirmedAt) {
         mListed = true;
         mConfirmedAt = confirmedAt;
-        mTargets.apply(revision, list.entries(), now()).forEach(this::onChange);
+        mTargets.apply(position, list.entries(), now()).forEach(this::onChange);
         mList = list;
+        planDecision();
     }
 
     /** Plans the next read in place of the one planned: a read that a notice began adds none. */
@@ -202,7 +227,7 @@
                 .with("target", c.entry().id())
                 .with("pool", c.entry().pool())
                 .with("address", c.entry().address())
-                .with("list", mTargets.revision())
+                .with("list", mTargets.position())
                 .log();
     }
 
@@ -216,7 +241,7 @@
                 && steps.stream().allMatch(s -> link().tell(new PeerMessage.Targets(s)))) {
             return;
         }
-        link().tell(new PeerNotice(PeerNotice.Kind.LIST, whole.readAt(), whole.after()));
+        link().tell(new PeerNotice(PeerNotice.Kind.LIST, whole.readTime(), whole.after()));
     }
 
     /** Takes it in that another router has read the list, and found this one's or another. */
@@ -236,44 +261,45 @@
      * have the same time of reading.
      */
     void onNews(TargetNews news) {
-        boolean nextStep = mStepsLeft > 0 && news.readAt() == mReadAt;
-        if (isOutOfTurn(news.readAt()) && !nextStep) {
+        boolean nextStep = mStepsLeft > 0 && news.readTime().equals(mReadAt);
+        if (isOutOfTurn(news.readTime()) && !nextStep) {
             return;
         }
         if (news.after() == mList.fingerprint()) {
-            confirm(news.readAt());
+            confirm(news.readTime());
             return;
         }
         TargetNews.Listed list = news.applyTo(mList);
-        if (!news.isRight(list) || news.revision() < mTargets.revision()) {
+        if (!news.isRight(list) || news.position().isBefore(mTargets.position())) {
             read(Telling.NOBODY);
             return;
         }
-        mReadAt = news.readAt();
+        mReadAt = news.readTime();
         mStepsLeft = news.more();
-        take(list, news.revision(), inOwnTime(news.readAt()));
+        take(list, news.position(), inOwnTime(mReadAt));
     }
 
     /** What is kept for a while after an outage is decided by reading anew. */
-    private boolean isOutOfTurn(long readAt) {
-        return readAt <= mReadAt || !mListed || mTargets.keepsMissing();
+    private boolean isOutOfTurn(StoreTime readAt) {
+        return !readAt.isAfter(mReadAt) || !mListed || mTargets.keepsMissing();
     }
 
-    private void confirm(long readAt) {
+    private void confirm(StoreTime readAt) {
         mReadAt = readAt;
         mConfirmedAt = inOwnTime(readAt);
     }
 
-    private long inOwnTime(long readAt) {
-        return Math.min(now(), readAt + mSourceOffset);
+    /** Translates a moment of the store's clock; one that has started anew tells no age. */
+    private long inOwnTime(StoreTime readAt) {
+        return Math.min(now(), readAt.millis() + mSourceOffset);
     }
 
     /** Takes another router's list while the store cannot be read. */
-    void onSnapshot(long revision, List<TargetEntry> list) {
+    void onSnapshot(StorePosition position, List<TargetEntry> list) {
         if (list.isEmpty()) {
             return;
         }
         mListed = true;
-        mTargets.apply(revision, list, now()).forEach(this::onChange);
+        mTargets.apply(position, list, now()).forEach(this::onChange);
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/spi/Versioned.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/spi/Versioned.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.spi;
 
 import org.forkseam.core.store.StorePosition;
+import org.forkseam.core.store.StoreTime;
 
 /**
  * Holds something read from the source of knowledge, and where in its history.
@@ -12,6 +13,11 @@
  * @since 0.2
  */
 public record Versioned<T>(StorePosition position, long readAt, T value) {
+    /** Returns when it was read. */
+    public StoreTime readTime() {
+        return StoreTime.of(position.era(), readAt);
+    }
+
     /** Returns the revision that was read. */
     public long revision() {
         return position.revision();
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
@@ -15,6 +15,8 @@
 import org.forkseam.core.share.LoadExchange;
 import org.forkseam.core.share.LoadReading;
 import org.forkseam.core.share.TargetNews;
+import org.forkseam.core.store.StorePosition;
+import org.forkseam.core.store.StoreTime;
 import org.forkseam.core.traffic.CallerLimits;
 import org.forkseam.core.traffic.ColdStart;
 import org.forkseam.core.traffic.ConfigChange;
@@ -40,7 +42,13 @@
             new PeerMessage.Operators(1, 2, 3, -4, List.of("hall-a", "ö"));
     private static final PeerMessage TARGETS =
             new PeerMessage.Targets(
-                    new TargetNews(5, 6, Long.MIN_VALUE, 3, List.of(ENTRY), List.of("i-1", "ö")));
+                    new TargetNews(
+                            5,
+                            StorePosition.of(2, 6),
+                            Long.MIN_VALUE,
+                            3,
+                            List.of(ENTRY),
+                            List.of("i-1", "ö")));
     private static final PeerMessage ROWS =
             new PeerMessage.Rows(
                     7, 8, 9, true, List.of(new SharedRow("seats/p", "i,j", 9), gone()));
@@ -91,7 +99,7 @@
 
     @Test
     void eachMessageIsReadAsItWasWritten() {
-        PeerMessage notice = new PeerNotice(PeerNotice.Kind.LIST, 3, 4);
+        PeerMessage notice = new PeerNotice(PeerNotice.Kind.LIST, StoreTime.of(1, 3), 4);
         for (PeerMessage m : List.of(notice, OPERATORS, CONFIG, TARGETS, ROWS, LEARNED)) {
             assertThat(PeerCodec.read(written(m))).isEqualTo(Optional.of(m));
         }
@@ -123,7 +131,9 @@
         for (int i = 0; i < 40; i++) {
             many.add(new TargetEntry("i-" + i, "pool", "10.1.0.40:8001", "hall-a", 12, false, 0));
         }
-        TargetNews news = TargetNews.between(List.of(), TargetNews.Listed.of(many), 1, 1);
+        TargetNews news =
+                TargetNews.between(
+                        List.of(), TargetNews.Listed.of(many), 1, StorePosition.of(0, 1));
         assertThat(PeerCodec.write(new PeerMessage.Targets(news)).isPresent()).isFalse();
     }
 
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
@@ -9,6 +9,8 @@
 
 import org.forkseam.core.member.Evacuations;
 import org.forkseam.core.member.TargetEntry;
+import org.forkseam.core.store.StorePosition;
+import org.forkseam.core.store.StoreTime;
 import org.forkseam.core.traffic.CallerLimits;
 import org.forkseam.core.traffic.Pool;
 import org.forkseam.core.traffic.PoolShare;
@@ -28,14 +30,17 @@
 class PeerNoticeTest {
     @Property(tries = 100)
     void aNoticeIsReadAsItWasWritten(
-            @ForAll PeerNotice.Kind kind, @ForAll long readAt, @ForAll long fingerprint) {
-        PeerNotice n = new PeerNotice(kind, readAt, fingerprint);
+            @ForAll PeerNotice.Kind kind,
+            @ForAll int era,
+            @ForAll long readAt,
+            @ForAll long fingerprint) {
+        PeerNotice n = new PeerNotice(kind, StoreTime.of(era, readAt), fingerprint);
         assertThat(PeerNotice.read(n.write())).isEqualTo(Optional.of(n));
     }
 
     @Property(tries = 300)
     void anyOtherBytesAreNoNotice(@ForAll byte[] bytes) {
-        PeerNotice known = new PeerNotice(PeerNotice.Kind.LIST, 1, 2);
+        PeerNotice known = new PeerNotice(PeerNotice.Kind.LIST, StoreTime.of(0, 1), 2);
         byte[] whole = new byte[known.write().readableBytes()];
         if (bytes.length != whole.length) {
             assertThat(PeerNotice.read(Unpooled.wrappedBuffer(bytes)).isPresent()).isFalse();
@@ -44,7 +49,7 @@
 
     @Test
     void anotherFormatOrKindIsPassedOver() {
-        byte[] b = new byte[18];
+        byte[] b = new byte[22];
         b[0] = 9;
         assertThat(PeerNotice.read(Unpooled.wrappedBuffer(b)).isPresent()).isFalse();
         b[0] = PeerCodec.FORMAT;
@@ -83,14 +88,20 @@
         evacuations.replace(12, List.of("z"));
         PeerSnapshot read =
                 PeerSnapshot.read(
-                        PeerSnapshot.of(c, 7, List.of(entry), List.of(seats), evacuations).write());
+                        PeerSnapshot.of(
+                                        c,
+                                        StorePosition.of(3, 7),
+                                        List.of(entry),
+                                        List.of(seats),
+                                        evacuations)
+                                .write());
         assertThat(read.config().version()).isEqualTo(9);
         assertThat(read.config().routes()).containsExactly(route);
         assertThat(read.config().pools()).containsExactly(Pool.of("p", 10, true));
         assertThat(read.config().teamsByKey()).isEqualTo(c.teamsByKey());
         assertThat(read.config().limits()).isEqualTo(c.limits());
         assertThat(read.targets()).containsExactly(entry);
-        assertThat(read.listRevision()).isEqualTo(7);
+        assertThat(read.listPosition()).isEqualTo(StorePosition.of(3, 7));
         assertThat(read.rows()).containsExactly(seats);
         assertThat(read.evacuations().revision()).isEqualTo(12);
         assertThat(read.evacuations().domains()).containsExactly("z");
