Take a store whose history is gone for what it is: an answer

Callers saw: nothing by itself. A router that took the store for lost passed over what others told it, and its lines said store_lost and store_back eight times in a second. Cause: the failure of a call comes wrapped in the future's own exception, and the check looked at the wrapper, so that it never found a history that was gone. Ruled out: a lost connection; the lines named the cause. Why this holds: the check is asked of the failure, wrapped or not, in one place.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigFollower.java
@@ -192,8 +192,7 @@
     }
 
     private void onFailure(Throwable failure) {
-        boolean historyGone = failure instanceof SourceException s && s.isHistoryGone();
-        if (!historyGone) {
+        if (!SourceException.isHistoryGone(failure)) {
             watch().onNoAnswer(failure);
             mListener.onIgnorant();
         }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/spi/SourceException.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/spi/SourceException.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.spi;
 
 import java.io.IOException;
+import java.util.concurrent.CompletionException;
 
 /** Reports that the source of knowledge gave no usable answer. */
 public final class SourceException extends IOException {
@@ -23,8 +24,13 @@
         return new SourceException("history is gone", true);
     }
 
-    /** Returns whether a read of the whole helps at once. */
-    public boolean isHistoryGone() {
-        return mHistoryGone;
+    /**
+     * Returns whether a read of the whole helps at once: the source has answered.
+     *
+     * @param failure of a call, alone or as the cause that a future wraps
+     */
+    public static boolean isHistoryGone(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof SourceException s && s.mHistoryGone;
     }
 }
