Order what operators write by the era of the store, and read it anew once for all

Callers saw: after the store had come back from an older copy, requests went on to a failure domain that operators evacuated since, and would have gone back to one whose evacuation the copy lacks. Cause: as with the list of targets, revisions that go back. A wait from a revision that the store does not have was refused and begun again each 80 ms, by every router. Ruled out: lost answers. Evacuations in force stay so, both ways, until operators are due to have written again; what they ask anew holds at once. A wait that is answered in another era is followed by a read of all. An era that cannot be (lower, missing, a thousand ahead) is refused at one place, counted and logged. Replaced checks: revisions of evacuations in tests are positions now.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/StoreMeters.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/StoreMeters.java
@@ -33,6 +33,12 @@
         FunctionCounter.builder(
                         "forkseam.evacuations.changes", mKnowledge, Knowledge::evacuationChanges)
                 .register(registry);
+        FunctionCounter.builder("forkseam.store.returns", mKnowledge, Knowledge::storeReturns)
+                .description("times the store came back from an older copy")
+                .register(registry);
+        Gauge.builder("forkseam.store.era", mKnowledge, Knowledge::storeEra)
+                .description("era of the store, by its own count")
+                .register(registry);
         Gauge.builder("forkseam.quarantined", mKnowledge, k -> k.quarantine().refused())
                 .description("requests that no target gets")
                 .register(registry);
--- /dev/null
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/CheckedFleetSource.java
@@ -0,0 +1,61 @@
+package org.forkseam.direct.know;
+
+import org.forkseam.core.member.TargetEntry;
+import org.forkseam.core.store.StorePosition;
+import org.forkseam.direct.spi.FleetSource;
+import org.forkseam.direct.spi.OperatorState;
+import org.forkseam.direct.spi.SourceException;
+import org.forkseam.direct.spi.Versioned;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+/** Lets no answer of the store count that names an era which cannot be. */
+final class CheckedFleetSource implements FleetSource {
+    private static final String ORIGIN = "store";
+
+    private final FleetSource mSource;
+    private final StoreEra mEra;
+
+    CheckedFleetSource(FleetSource source, StoreEra era) {
+        mSource = source;
+        mEra = era;
+    }
+
+    @Override
+    public CompletableFuture<Versioned<OperatorState>> readOperators() {
+        return mSource.readOperators().thenApply(r -> checked(mEra, r));
+    }
+
+    @Override
+    public CompletableFuture<Versioned<OperatorState>> awaitOperators(
+            StorePosition since, long waitMillis) {
+        return mSource.awaitOperators(since, waitMillis).thenApply(r -> checked(mEra, r));
+    }
+
+    @Override
+    public CompletableFuture<Versioned<List<TargetEntry>>> readTargets() {
+        return mSource.readTargets().thenApply(r -> checked(mEra, r));
+    }
+
+    @Override
+    public Map<String, Long> unusableEntries() {
+        return mSource.unusableEntries();
+    }
+
+    /** Returns an answer that may be used, or fails. */
+    static <T> Versioned<T> checked(StoreEra era, Versioned<T> read) {
+        check(era, read.position());
+        return read;
+    }
+
+    static void check(StoreEra era, StorePosition position) {
+        if (!era.accepts(position, ORIGIN)) {
+            throw new CompletionException(
+                    SourceException.of(
+                            "answer of era " + position.era() + ", newest " + era.newest()));
+        }
+    }
+}
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigFollower.java
@@ -2,6 +2,8 @@
 
 import org.forkseam.core.member.Evacuations;
 import org.forkseam.core.share.ReaderRole;
+import org.forkseam.core.store.StorePosition;
+import org.forkseam.core.store.StoreTime;
 import org.forkseam.core.traffic.ConfigChange;
 import org.forkseam.core.traffic.TrafficConfig;
 import org.forkseam.direct.log.Event;
@@ -14,6 +16,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.Future;
 import java.util.function.Consumer;
 
 /**
@@ -41,11 +44,12 @@
     private final Evacuations mEvacuations = Evacuations.create();
     private final ReaderRole mRole = ReaderRole.of(HEARD_MILLIS);
     private TrafficConfig mConfig = TrafficConfig.none();
-    private long mRevision;
+    private StorePosition mPosition = StorePosition.NONE;
     private long mConfirmedAt;
-    private long mReadAt = Long.MIN_VALUE;
+    private StoreTime mReadAt = StoreTime.NEVER;
     private int mFailures;
     private boolean mReadingNow;
+    private Future<?> mSettling;
 
     /** Is told of what is learned here. */
     interface Listener {
@@ -92,10 +96,25 @@
     }
 
     /** Takes all evacuated domains in, from whatever source, if they are not older. */
-    void offerEvacuations(long revision, Collection<String> domains, String origin) {
-        if (mEvacuations.replace(revision, domains)) {
+    void offerEvacuations(StorePosition position, Collection<String> domains, String origin) {
+        if (mEvacuations.replace(position, domains, now())) {
             onEvacuationsChanged(origin);
         }
+        planSettling();
+    }
+
+    /** Plans to take the store's word alone again, a while after it has come back. */
+    private void planSettling() {
+        if (mEvacuations.isOpen(now()) && (mSettling == null || mSettling.isDone())) {
+            mSettling = later(mEvacuations.heldUntil() - now(), this::settle);
+        }
+    }
+
+    private void settle() {
+        if (mEvacuations.settle(now())) {
+            onEvacuationsChanged("store, written again");
+        }
+        planSettling(); // the store may have come back once more
     }
 
     private void onEvacuationsChanged(String origin) {
@@ -103,7 +122,7 @@
         Event.always("evacuations")
                 .with("domains", first(mEvacuations.domains()))
                 .with("count", mEvacuations.domains().size())
-                .with("revision", mEvacuations.revision())
+                .with("position", mEvacuations.position())
                 .with("origin", origin)
                 .log();
     }
@@ -120,6 +139,15 @@
         }
     }
 
+    /** Waits on if another router has told meanwhile what the store holds; else reads all. */
+    private void resume(StorePosition stale) {
+        if (mPosition.isAfter(stale)) {
+            follow();
+        } else {
+            start();
+        }
+    }
+
     /**
      * Waits for a newer configuration, unless another router does and tells what it hears: then
      * this one only looks whether the other is still heard.
@@ -133,8 +161,24 @@
             later(quiet + spread(), this::follow);
             return;
         }
-        mSource.awaitOperators(mRevision, WAIT_MILLIS)
-                .whenComplete((read, e) -> onRead(read, e, this::takeChanges));
+        StorePosition since = mPosition;
+        mSource.awaitOperators(since, WAIT_MILLIS)
+                .whenComplete((read, e) -> onWaited(read, e, since));
+    }
+
+    /** Revisions of another era count other changes: those before the one asked for are missing. */
+    private void onWaited(Versioned<OperatorState> read, Throwable failure, StorePosition since) {
+        if (failure == null && !read.position().isOfEraOf(since)) {
+            watch().onAnswer();
+            readAnew();
+            return;
+        }
+        onRead(read, failure, this::takeChanges);
+    }
+
+    private void readAnew() {
+        StorePosition stale = mPosition;
+        later(pauseAfter(1) + rereadPause(), () -> resume(stale));
     }
 
     private void onRead(
@@ -145,13 +189,13 @@
             onFailure(failure);
             return;
         }
-        watch().onAnswer(read.position());
+        watch().onAnswer();
         mFailures = 0;
-        mRevision = Math.max(mRevision, read.revision());
+        mPosition = StorePosition.newer(mPosition, read.position());
         mConfirmedAt = now();
         TrafficConfig before = mConfig;
         take.accept(read);
-        mReadAt = Math.max(mReadAt, read.readAt());
+        mReadAt = read.readTime().isAfter(mReadAt) ? read.readTime() : mReadAt;
         tellChange(before);
         tell(read);
         follow();
@@ -167,13 +211,13 @@
 
     private void takeAll(Versioned<OperatorState> read) {
         read.value().config().ifPresent(c -> offer(c, "store"));
-        offerEvacuations(read.revision(), read.value().evacuated(), "store");
+        offerEvacuations(read.position(), read.value().evacuated(), "store");
     }
 
     private void takeChanges(Versioned<OperatorState> read) {
         OperatorState s = read.value();
         s.config().ifPresent(c -> offer(c, "store"));
-        if (mEvacuations.change(read.revision(), s.evacuated(), s.returned())) {
+        if (mEvacuations.change(read.position(), s.evacuated(), s.returned(), now())) {
             onEvacuationsChanged("store");
         }
     }
@@ -182,21 +226,26 @@
         PeerMessage.Operators m =
                 new PeerMessage.Operators(
                         read.readAt(),
-                        mEvacuations.revision(),
+                        read.position(),
                         mConfig.version(),
                         mEvacuations.fingerprint(),
-                        List.copyOf(mEvacuations.domains()));
-        if (!link().tell(m)) {
+                        List.copyOf(mEvacuations.told()));
+        boolean newer = mEvacuations.position().isAfter(read.position()); // told by another
+        if (newer || !link().tell(m)) {
             link().tell(m.withoutDomains());
         }
     }
 
     private void onFailure(Throwable failure) {
-        if (!SourceException.isHistoryGone(failure)) {
-            watch().onNoAnswer(failure);
-            mListener.onIgnorant();
+        if (SourceException.isHistoryGone(failure)) {
+            watch().onAnswer();
+            readAnew();
+            return;
         }
-        later(pauseAfter(++mFailures), this::start);
+        watch().onNoAnswer(failure);
+        mListener.onIgnorant();
+        boolean known = mPosition.isAfter(StorePosition.NONE);
+        later(pauseAfter(++mFailures), known ? this::follow : this::start);
     }
 
     // ---------------------------------------------------------------- other routers
@@ -209,22 +258,25 @@
     /** Takes another router's reading in place of an own one, if it is newer and the same. */
     void onMessage(PeerMessage.Operators m, InetSocketAddress sender) {
         if (m.isWhole()) {
-            offerEvacuations(m.revision(), m.evacuated(), "peer");
+            offerEvacuations(m.position(), m.evacuated(), "peer");
         }
         if (watch().isDown()) {
             return; // it cannot be read, and what is kept is decided by reading anew
         }
         boolean missesDomains =
-                m.revision() >= mEvacuations.revision()
+                !m.position().isBefore(mEvacuations.position())
                         && m.fingerprint() != mEvacuations.fingerprint();
         if (m.version() > mConfig.version() || missesDomains) {
             readNow();
             return;
         }
-        if (m.readAt() <= mReadAt || m.version() < mConfig.version()) {
+        if (!m.readTime().isAfter(mReadAt) || m.version() < mConfig.version()) {
             return;
         }
-        mReadAt = m.readAt();
+        mReadAt = m.readTime();
+        if (m.isWhole()) {
+            mPosition = StorePosition.newer(mPosition, m.position());
+        }
         mConfirmedAt = now();
         if (link().goesBefore(sender)) {
             mRole.onHeard(mConfirmedAt);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/FollowerBase.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/FollowerBase.java
@@ -28,6 +28,17 @@
     /** Enough to reach the longest pause. */
     private static final int MAX_DOUBLINGS = 4;
 
+    /**
+     * Routers that need all that one of them is about to read and tell leave it so long to that
+     * one; longer than a configuration of 2,000 routes takes at 10 Mbit/s. Unit: milliseconds.
+     */
+    private static final long LEFT_TO_FIRST_MILLIS = 700;
+
+    /** Then they read at random moments of a span that grows with their number. */
+    private static final long REREAD_SPREAD_MILLIS_A_ROUTER = 10;
+
+    private static final long MAX_REREAD_SPREAD_MILLIS = 1_000;
+
     private final Surroundings mAround;
     private boolean mStopped;
 
@@ -36,6 +47,7 @@
      *
      * @param link to the other routers
      * @param watch over the store
+     * @param era of the store
      * @param serving tells whether this router knows enough to serve callers
      */
     record Surroundings(
@@ -44,6 +56,7 @@
             RandomGenerator random,
             PeerLink link,
             SourceWatch watch,
+            StoreEra era,
             BooleanSupplier serving) {}
 
     FollowerBase(Surroundings around) {
@@ -82,6 +95,22 @@
         return mAround.loop().schedule(task, millis, TimeUnit.MILLISECONDS);
     }
 
+    final StoreEra era() {
+        return mAround.era();
+    }
+
+    /**
+     * Returns the pause before this router reads all anew because the history of before is gone:
+     * all routers find that at the same time, and one of them tells the others.
+     */
+    final long rereadPause() {
+        if (link().goesFirst()) {
+            return 0;
+        }
+        long span = REREAD_SPREAD_MILLIS_A_ROUTER * link().others();
+        return LEFT_TO_FIRST_MILLIS + random().nextLong(Math.min(MAX_REREAD_SPREAD_MILLIS, span));
+    }
+
     /** Returns the pause before the next try of a read that has failed so often in a row. */
     final long pauseAfter(int failures) {
         long max =
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -9,6 +9,7 @@
 import org.forkseam.core.member.TargetEntry;
 import org.forkseam.core.route.HolderMemory;
 import org.forkseam.core.share.LoadExchange;
+import org.forkseam.core.store.StorePosition;
 import org.forkseam.core.traffic.TrafficConfig;
 import org.forkseam.core.util.Clock;
 import org.forkseam.direct.log.Event;
@@ -47,6 +48,7 @@
     private final Supplier<Map<String, Long>> mUnusable;
     private final PeerLink mLink;
     private final PeerClient mPeers;
+    private final StoreEra mEra = new StoreEra();
     private final SourceWatch mWatch = new SourceWatch(this::onSourceBack);
     private final ConfigFollower mConfig;
     private final TargetFollower mTargets;
@@ -100,9 +102,11 @@
         mLink = new PeerLink(loop, self, random, this::onMessage);
         mPeers = PeerClient.of(loop, clock, sources.peers());
         FollowerBase.Surroundings around =
-                new FollowerBase.Surroundings(loop, clock, random, mLink, mWatch, this::isComplete);
-        mTargets = new TargetFollower(around, sources.fleet(), listMillis, this::onRestart);
-        mConfig = new ConfigFollower(around, sources.fleet(), new OperatorListener());
+                new FollowerBase.Surroundings(
+                        loop, clock, random, mLink, mWatch, mEra, this::isComplete);
+        FleetSource fleet = new CheckedFleetSource(sources.fleet(), mEra);
+        mTargets = new TargetFollower(around, fleet, listMillis, this::onRestart);
+        mConfig = new ConfigFollower(around, fleet, new OperatorListener());
         mRows = new RowFollower(around, sources.shared(), this::onRow);
         mSeats = new Seats(around, sources.shared(), mRows, mTargets.targets());
         mQuarantine = new Quarantine(around, sources.shared(), mRows);
@@ -183,6 +187,9 @@
         m.put("messages_sent", mLink.sent());
         m.put("store_calls", mCalls.get());
         m.put("source_down", mWatch.isDown());
+        m.put("store_era", mEra.newest());
+        m.put("store_returns", mEra.returns());
+        m.put("store_eras_refused", mEra.refused());
         return m;
     }
 
@@ -248,6 +255,16 @@
         return mUnusable.get().values().stream().mapToLong(Long::longValue).sum();
     }
 
+    /** Returns which era the store is in, as far as it was seen. */
+    public int storeEra() {
+        return mEra.newest();
+    }
+
+    /** Returns how often the store was seen to come back from an older copy. */
+    public long storeReturns() {
+        return mEra.returns();
+    }
+
     /** Returns the number of routers known, at least this one. */
     public int routers() {
         return mLink.routers();
@@ -270,6 +287,9 @@
             return;
         }
         noteHeard(m);
+        if (!isOfPossibleEra(m)) {
+            return;
+        }
         if (m instanceof PeerMessage.Learned l) {
             mLearned.take(l);
             return;
@@ -294,6 +314,12 @@
         }
     }
 
+    /** Takes in the era that a message names; one of before says what was known then, no more. */
+    private boolean isOfPossibleEra(PeerMessage m) {
+        Optional<StorePosition> p = m.storePosition();
+        return p.isEmpty() || p.get().era() <= mEra.newest() || mEra.accepts(p.get(), "peer");
+    }
+
     /**
      * Tries the store at once where another router shows that it can be reached: one that is heard
      * after a silence, so that this router was cut off itself, or one that has read the list. By
@@ -354,7 +380,7 @@
             return;
         }
         mConfig.offer(s.config(), "peer");
-        mConfig.offerEvacuations(s.evacuations().revision(), s.evacuations().domains(), "peer");
+        mConfig.offerEvacuations(s.evacuations().position(), s.evacuations().domains(), "peer");
         mTargets.onSnapshot(s.listPosition(), s.targets());
         mRows.onSnapshot(s.rows());
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
@@ -99,15 +99,16 @@
 
     private static ByteBuf writeOperators(PeerMessage.Operators o) {
         ByteBuf b = begin(OPERATORS);
-        b.writeLong(o.readAt()).writeLong(o.revision()).writeLong(o.version());
-        b.writeLong(o.fingerprint());
+        b.writeLong(o.readAt());
+        write(b, o.position());
+        b.writeLong(o.version()).writeLong(o.fingerprint());
         Texts.writeAll(b, o.evacuated());
         return b;
     }
 
     private static PeerMessage readOperators(ByteBuf b) {
         return new PeerMessage.Operators(
-                b.readLong(), b.readLong(), b.readLong(), b.readLong(), Texts.readAll(b));
+                b.readLong(), readPosition(b), b.readLong(), b.readLong(), Texts.readAll(b));
     }
 
     // ---------------------------------------------------------------- targets
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerLink.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerLink.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 
 import org.forkseam.core.admit.ColdShare;
+import org.forkseam.direct.io.Addresses;
 
 import java.net.InetSocketAddress;
 import java.util.Arrays;
@@ -96,6 +97,11 @@
         return byHost != 0 ? byHost < 0 : other.getPort() < own.getPort();
     }
 
+    /** Returns whether this router goes before all others that are known. */
+    boolean goesFirst() {
+        return mOthers.stream().map(Addresses::parse).noneMatch(this::goesBefore);
+    }
+
     // ---------------------------------------------------------------- sending
 
     /** Tells all routers something, or returns false if it is too long for a datagram. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
@@ -5,10 +5,13 @@
 import org.forkseam.core.share.HolderFact;
 import org.forkseam.core.share.LoadReading;
 import org.forkseam.core.share.TargetNews;
+import org.forkseam.core.store.StorePosition;
+import org.forkseam.core.store.StoreTime;
 import org.forkseam.core.traffic.ConfigChange;
 import org.forkseam.direct.spi.SharedRow;
 
 import java.util.List;
+import java.util.Optional;
 
 /** Is what routers tell each other in datagrams. */
 sealed interface PeerMessage
@@ -18,20 +21,39 @@
                 PeerMessage.Targets,
                 PeerMessage.Rows,
                 PeerMessage.Learned {
+    /** Returns where in the store's history the news were read, if they were read there. */
+    default Optional<StorePosition> storePosition() {
+        return Optional.empty();
+    }
+
     /**
      * Tells what operators have written, as it has just been read. Of the configuration only the
      * version: what changed is told by itself.
      *
      * @param readAt the store's own steady clock when it was read, in milliseconds
-     * @param revision the store's when it was read
+     * @param position in the store's history when it was read
      * @param version of the configuration
      * @param fingerprint of the evacuated failure domains
      * @param evacuated these domains; none if they are too many for a message, which the
      *     fingerprint then shows
      */
     record Operators(
-            long readAt, long revision, long version, long fingerprint, List<String> evacuated)
+            long readAt,
+            StorePosition position,
+            long version,
+            long fingerprint,
+            List<String> evacuated)
             implements PeerMessage {
+        /** Returns when it was read. */
+        StoreTime readTime() {
+            return StoreTime.of(position.era(), readAt);
+        }
+
+        @Override
+        public Optional<StorePosition> storePosition() {
+            return Optional.of(position);
+        }
+
         /** Returns whether the message holds all evacuated domains. */
         boolean isWhole() {
             return Evacuations.fingerprint(evacuated) == fingerprint;
@@ -39,7 +61,7 @@
 
         /** Returns the same message without the domains. */
         Operators withoutDomains() {
-            return new Operators(readAt, revision, version, fingerprint, List.of());
+            return new Operators(readAt, position, version, fingerprint, List.of());
         }
     }
 
@@ -55,7 +77,12 @@
      *
      * @param news the change, or a step of it
      */
-    record Targets(TargetNews news) implements PeerMessage {}
+    record Targets(TargetNews news) implements PeerMessage {
+        @Override
+        public Optional<StorePosition> storePosition() {
+            return Optional.of(news.position());
+        }
+    }
 
     /**
      * Tells of shared rows, and that they have just been read.
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerNotice.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerNotice.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 
+import org.forkseam.core.store.StorePosition;
 import org.forkseam.core.store.StoreTime;
 
 import java.util.Arrays;
@@ -35,6 +36,11 @@
         }
     }
 
+    @Override
+    public Optional<StorePosition> storePosition() {
+        return Optional.of(StorePosition.of(readAt.era(), 0));
+    }
+
     ByteBuf write() {
         return Unpooled.buffer(BYTES)
                 .writeByte(PeerCodec.FORMAT)
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerSnapshot.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerSnapshot.java
@@ -49,12 +49,12 @@
     /**
      * Holds the evacuated failure domains.
      *
-     * @param revision the store's that they are known of, or -1
+     * @param position in the store's history that they are known of
      * @param domains their names
      */
-    record KnownEvacuations(long revision, List<String> domains) {
+    record KnownEvacuations(StorePosition position, List<String> domains) {
         static KnownEvacuations of(Evacuations e) {
-            return new KnownEvacuations(e.revision(), List.copyOf(e.domains()));
+            return new KnownEvacuations(e.position(), List.copyOf(e.domains()));
         }
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/SourceWatch.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/SourceWatch.java
@@ -1,13 +1,11 @@
 package org.forkseam.direct.know;
 
-import org.forkseam.core.store.StorePosition;
 import org.forkseam.direct.log.Event;
 
 /** Follows whether the store answers this router. Used on the event loop. */
 final class SourceWatch {
     private final Listener mListener;
     private boolean mDown;
-    private StorePosition mPosition = StorePosition.NONE;
 
     /** Is told when the store answers again. */
     interface Listener {
@@ -23,12 +21,7 @@
         return mDown;
     }
 
-    /** Notes an answer of the store, read at a position. */
-    void onAnswer(StorePosition position) {
-        if (mPosition.era() != position.era()) {
-            Event.always("store_era").with("before", mPosition).with("now", position).log();
-        }
-        mPosition = position;
+    void onAnswer() {
         if (mDown) {
             mDown = false;
             mListener.onBack();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
@@ -131,7 +131,7 @@
             readIn(pauseAfter(++mFailures), this::start);
             return;
         }
-        watch().onAnswer(read.position());
+        watch().onAnswer();
         mFailures = 0;
         long now = now();
         mSourceOffset = now - read.readAt();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/spi/FleetSource.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/spi/FleetSource.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.spi;
 
 import org.forkseam.core.member.TargetEntry;
+import org.forkseam.core.store.StorePosition;
 
 import java.util.List;
 import java.util.Map;
@@ -19,12 +20,14 @@
     CompletableFuture<Versioned<OperatorState>> readOperators();
 
     /**
-     * Waits for a change by operators that is newer than a revision.
+     * Waits for a change by operators that is newer than a position; an answer of another era may
+     * lack changes.
      *
-     * @param revision of the last read
+     * @param since position of the last read
      * @param waitMillis longest time to wait; then the result holds no change
      */
-    CompletableFuture<Versioned<OperatorState>> awaitOperators(long revision, long waitMillis);
+    CompletableFuture<Versioned<OperatorState>> awaitOperators(
+            StorePosition since, long waitMillis);
 
     /** Reads the list of targets. */
     CompletableFuture<Versioned<List<TargetEntry>>> readTargets();
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/FollowerBaseTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/FollowerBaseTest.java
@@ -24,6 +24,7 @@
                             new SplittableRandom(5),
                             null,
                             null,
+                            new StoreEra(),
                             () -> serving));
         }
     }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
@@ -39,7 +39,7 @@
     private static final TargetEntry ENTRY =
             new TargetEntry("i-7f3a91c2", "forecast-lm", "10.1.0.40:8001", "hall-a", 12, true, 0);
     private static final PeerMessage OPERATORS =
-            new PeerMessage.Operators(1, 2, 3, -4, List.of("hall-a", "ö"));
+            new PeerMessage.Operators(1, StorePosition.of(1, 2), 3, -4, List.of("hall-a", "ö"));
     private static final PeerMessage TARGETS =
             new PeerMessage.Targets(
                     new TargetNews(
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
@@ -85,7 +85,7 @@
         TargetEntry entry = new TargetEntry("i", "p", "10.0.0.1:1", "z", 4, true, 0);
         SharedRow seats = new SharedRow("seats/p", "i,j", 5);
         Evacuations evacuations = Evacuations.create();
-        evacuations.replace(12, List.of("z"));
+        evacuations.replace(StorePosition.of(3, 12), List.of("z"), 0);
         PeerSnapshot read =
                 PeerSnapshot.read(
                         PeerSnapshot.of(
@@ -103,7 +103,7 @@
         assertThat(read.targets()).containsExactly(entry);
         assertThat(read.listPosition()).isEqualTo(StorePosition.of(3, 7));
         assertThat(read.rows()).containsExactly(seats);
-        assertThat(read.evacuations().revision()).isEqualTo(12);
+        assertThat(read.evacuations().position()).isEqualTo(StorePosition.of(3, 12));
         assertThat(read.evacuations().domains()).containsExactly("z");
     }
 }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/QuarantineTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/QuarantineTest.java
@@ -133,6 +133,7 @@
                             random,
                             link,
                             new SourceWatch(() -> {}),
+                            new StoreEra(),
                             () -> true);
             List<Quarantine> listener = new ArrayList<>();
             mFollower = new RowFollower(around, mRows, r -> listener.get(0).take(r));
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/RowFollowerTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/RowFollowerTest.java
@@ -85,7 +85,13 @@
                 new PeerLink(mLoop, new Knowledge.Self("own", OWN), random, (m, sender) -> {});
         FollowerBase.Surroundings around =
                 new FollowerBase.Surroundings(
-                        mLoop, Clock.steady(), random, link, new SourceWatch(() -> {}), () -> true);
+                        mLoop,
+                        Clock.steady(),
+                        random,
+                        link,
+                        new SourceWatch(() -> {}),
+                        new StoreEra(),
+                        () -> true);
         return new RowFollower(around, mRows, mTaken::add);
     }
 
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/TargetFollowerTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/TargetFollowerTest.java
@@ -79,7 +79,8 @@
         }
 
         @Override
-        public CompletableFuture<Versioned<OperatorState>> awaitOperators(long r, long w) {
+        public CompletableFuture<Versioned<OperatorState>> awaitOperators(
+                StorePosition since, long wait) {
             return new CompletableFuture<>();
         }
 
@@ -102,7 +103,7 @@
         mFollower =
                 new TargetFollower(
                         new FollowerBase.Surroundings(
-                                mLoop, mClock, random, link, watch, () -> true),
+                                mLoop, mClock, random, link, watch, new StoreEra(), () -> true),
                         mSource,
                         PAUSE_MILLIS,
                         id -> {});
