Follow the rows that routers share through a return of the store, and write again what it lacks

Callers saw: prompts read again: seats that were changed after the store had come back from an older copy were not taken while the store's counter was below the old one. Cause: as with lists and evacuations, rows were ordered by a revision that goes back; and what routers had written since the copy was gone for good. Ruled out: a row that was not read; the seats in the store were the newer ones. Why this holds: rows have positions. What holds here and the copy lacks stays in force, ahead of the store, and is written again on condition, by the router that reads for all (others 1.5 s later if it has not), each router's own row by itself at a moment of a span of 10 ms a router. A row known as removed does not come back. No write is made on a condition of an earlier era; one under way across the return is logged. Two ways: all read all rows again (calls and bytes by routers squared: each row names a router), or one reads and tells what differs from what all knew before: 3 routers, one return: at most 4 writes. Replaced checks: revisions of rows in tests are positions now; a write on condition of an absent row tells its era.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/CrashWarnings.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/CrashWarnings.java
@@ -56,7 +56,7 @@
         if (!ROW.isOf(row.key())) {
             return List.of();
         }
-        if (row.revision() == 0) {
+        if (!row.exists()) {
             mWrittenAt.remove(row.key());
             return List.of();
         }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -107,9 +107,10 @@
         FleetSource fleet = new CheckedFleetSource(sources.fleet(), mEra);
         mTargets = new TargetFollower(around, fleet, listMillis, this::onRestart);
         mConfig = new ConfigFollower(around, fleet, new OperatorListener());
-        mRows = new RowFollower(around, sources.shared(), this::onRow);
-        mSeats = new Seats(around, sources.shared(), mRows, mTargets.targets());
-        mQuarantine = new Quarantine(around, sources.shared(), mRows);
+        SharedRows shared = new CheckedSharedRows(sources.shared(), mEra);
+        mRows = new RowFollower(around, shared, this::onRow);
+        mSeats = new Seats(around, shared, mRows, mTargets.targets());
+        mQuarantine = new Quarantine(around, shared, mRows);
         mWords = new TargetWords(mTargets.targets(), clock);
         mLearned = new Learned(clock, mTargets.targets(), mQuarantine, mWords);
     }
@@ -175,7 +176,7 @@
         m.put("config_age_ms", now - mConfig.confirmedAt());
         m.put("routes", config().routeCount());
         m.put("evacuated", evacuated());
-        m.put("list_revision", targets().position().toString());
+        m.put("list_position", targets().position().toString());
         m.put("list_age_ms", now - mTargets.confirmedAt());
         m.put("targets", targets().all().size());
         m.put("unusable_entries", mUnusable.get());
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
@@ -158,24 +158,27 @@
 
     private static ByteBuf writeRows(PeerMessage.Rows r) {
         ByteBuf b = begin(ROWS);
-        b.writeLong(r.readAt()).writeLong(r.since()).writeLong(r.until()).writeBoolean(r.whole());
+        b.writeLong(r.readAt());
+        write(b, r.since());
+        write(b, r.until());
+        b.writeBoolean(r.whole());
         b.writeShort(r.rows().size());
         for (SharedRow row : r.rows()) {
             Texts.write(b, row.key());
             Texts.write(b, row.value());
-            b.writeLong(row.revision());
+            write(b, row.position());
         }
         return b;
     }
 
     private static PeerMessage readRows(ByteBuf b) {
         long readAt = b.readLong();
-        long since = b.readLong();
-        long until = b.readLong();
+        StorePosition since = readPosition(b);
+        StorePosition until = readPosition(b);
         boolean whole = b.readBoolean();
         List<SharedRow> rows = new ArrayList<>();
         for (int i = b.readUnsignedShort(); i > 0; i--) {
-            rows.add(new SharedRow(Texts.read(b), Texts.read(b), b.readLong()));
+            rows.add(new SharedRow(Texts.read(b), Texts.read(b), readPosition(b)));
         }
         return new PeerMessage.Rows(readAt, since, until, whole, rows);
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
@@ -88,13 +88,42 @@
      * Tells of shared rows, and that they have just been read.
      *
      * @param readAt the store's own steady clock when they were read, in milliseconds
-     * @param since whoever knows the rows as of this revision, or of a later one, misses nothing
-     * @param until the revision that is known with this message
+     * @param since whoever knows the rows as of this position, or of a later one of its era, misses
+     *     nothing; if the store has come back since, only whoever knows just this
+     * @param until the position that is known with this message; {@link StorePosition#NONE} if its
+     *     sender tells of a row that it has written
      * @param whole whether all rows that changed in between are here; else they are to be read
      * @param rows those that changed
      */
-    record Rows(long readAt, long since, long until, boolean whole, List<SharedRow> rows)
-            implements PeerMessage {}
+    record Rows(
+            long readAt,
+            StorePosition since,
+            StorePosition until,
+            boolean whole,
+            List<SharedRow> rows)
+            implements PeerMessage {
+        /** Tells of a row that was just written. */
+        static Rows written(SharedRow row) {
+            return new Rows(0, StorePosition.NONE, StorePosition.NONE, true, List.of(row));
+        }
+
+        /** Returns whether its sender has written the row. */
+        boolean isWritten() {
+            return until.equals(StorePosition.NONE);
+        }
+
+        /** Returns when the rows were read. */
+        StoreTime readTime() {
+            return StoreTime.of(until.era(), readAt);
+        }
+
+        @Override
+        public Optional<StorePosition> storePosition() {
+            return isWritten()
+                    ? rows.stream().map(SharedRow::position).findFirst()
+                    : Optional.of(until);
+        }
+    }
 
     /**
      * Tells what a router has learned of targets.
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/QuarantineRows.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/QuarantineRows.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.know;
 
 import org.forkseam.core.crash.QuarantineTerm;
+import org.forkseam.core.store.StorePosition;
 import org.forkseam.core.util.BoundedMap;
 import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.log.Event;
@@ -37,11 +38,11 @@
     private final Set<Long> mWriting = new HashSet<>();
 
     /**
-     * Holds a term, and the revision of its row.
+     * Holds a term, and where its row was written.
      *
      * @param ahead whether this router has released the request, and the row does not say so yet
      */
-    private record Row(QuarantineTerm term, long revision, boolean ahead) {}
+    private record Row(QuarantineTerm term, StorePosition position, boolean ahead) {}
 
     /**
      * Says what a row that changed holds.
@@ -69,7 +70,7 @@
      */
     void releaseHere(long content) {
         mKnown.computeIfPresent(
-                content, (c, row) -> new Row(QuarantineTerm.released(), row.revision(), true));
+                content, (c, row) -> new Row(QuarantineTerm.released(), row.position(), true));
     }
 
     /** Returns whether a request is served here although its row still refuses it. */
@@ -97,24 +98,24 @@
         }
         Optional<Long> content = ROW.content(row.key());
         Optional<QuarantineTerm> term = QuarantineTerm.read(row.value());
-        if (content.isEmpty() || row.revision() > 0 && term.isEmpty()) {
+        if (content.isEmpty() || row.exists() && term.isEmpty()) {
             Event.of("quarantine_row_malformed").with("row", row.key()).log();
             return Optional.empty();
         }
-        if (isKnown(content.get(), row.revision())) {
+        if (isKnown(content.get(), row.position())) {
             return Optional.empty(); // told once more, and perhaps released here meanwhile
         }
         if (term.isEmpty()) {
             mKnown.remove(content.get()); // by an operator, or by a router after its time
         } else {
-            mKnown.put(content.get(), new Row(term.get(), row.revision(), false));
+            mKnown.put(content.get(), new Row(term.get(), row.position(), false));
         }
         return Optional.of(new Change(content.get(), term));
     }
 
-    private boolean isKnown(long content, long revision) {
+    private boolean isKnown(long content, StorePosition position) {
         Row known = mKnown.get(content);
-        return known != null && known.revision() == revision;
+        return known != null && known.position().equals(position);
     }
 
     // ---------------------------------------------------------------- writing
@@ -130,8 +131,8 @@
             return CompletableFuture.completedFuture(false);
         }
         makeRoom(content);
-        long revision = Optional.ofNullable(mKnown.get(content)).map(Row::revision).orElse(0L);
-        return mRows.compareAndSet(ROW.of(content), term.write(), revision)
+        StorePosition expected = mFollower.position(ROW.of(content));
+        return mRows.compareAndSet(ROW.of(content), term.write(), expected)
                 .whenComplete((row, failure) -> mWriting.remove(content))
                 .whenComplete((row, failure) -> logFailure(content, failure))
                 .thenApply(row -> takeWritten(row, row.value().equals(term.write())));
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
@@ -1,16 +1,19 @@
 package org.forkseam.direct.know;
 
 import org.forkseam.core.share.ReaderRole;
+import org.forkseam.core.store.StorePosition;
+import org.forkseam.core.store.StoreTime;
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.SharedRow;
 import org.forkseam.direct.spi.SharedRows;
+import org.forkseam.direct.spi.SourceException;
 import org.forkseam.direct.spi.Versioned;
 
 import java.net.InetSocketAddress;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 
 /**
@@ -37,14 +40,25 @@
     /** A router that the rows do not name writes its own anew after so long. */
     private static final long REGISTER_MILLIS = 5_000;
 
+    /** After a return of the store, routers write or read at moments of such a span, times all. */
+    private static final long CATCH_UP_SPREAD_MILLIS_A_ROUTER = 10;
+
+    /** The router that reads for all writes again first; the others if it has not. */
+    private static final long OTHERS_WRITE_MILLIS = 1_500;
+
+    /** A router that is cut off from the store may write its row again so late. */
+    private static final long FORGET_ROUTERS_MILLIS = 60_000;
+
     private final SharedRows mRows;
     private final Consumer<SharedRow> mListener;
     private final ReaderRole mRole = ReaderRole.of(HEARD_MILLIS);
-    private final Map<String, SharedRow> mKnown = new LinkedHashMap<>();
-    private long mRevision;
+    private final RowTable mTable = new RowTable();
+    private StorePosition mPosition = StorePosition.NONE;
     private boolean mRead;
     private int mFailures;
     private OptionalLong mStoreAhead = OptionalLong.empty();
+    private int mClockEra;
+    private boolean mWritingAgain;
     private boolean mCatchingUp;
 
     /**
@@ -65,7 +79,7 @@
 
     /** Returns whether the other routers are known, from the store or from one of them. */
     boolean knowsRouters() {
-        return mRead || !mKnown.isEmpty();
+        return mRead || !mTable.known().isEmpty();
     }
 
     /** Returns whether this router reads the rows for all, as far as it knows. */
@@ -83,13 +97,32 @@
                 : OptionalLong.empty();
     }
 
-    private void noteStoreClock(long readAt) {
-        mStoreAhead = OptionalLong.of(Math.max(mStoreAhead.orElse(Long.MIN_VALUE), readAt - now()));
+    /** With an era the store's clock may start anew. */
+    private void noteStoreClock(StoreTime readAt) {
+        if (readAt.era() < mClockEra) {
+            return;
+        }
+        long ahead = readAt.millis() - now();
+        boolean sameClock = readAt.era() == mClockEra && mStoreAhead.isPresent();
+        mStoreAhead = OptionalLong.of(sameClock ? Math.max(mStoreAhead.getAsLong(), ahead) : ahead);
+        mClockEra = readAt.era();
     }
 
     /** Returns all rows known. */
     List<SharedRow> known() {
-        return List.copyOf(mKnown.values());
+        return mTable.known();
+    }
+
+    /** Returns the position at which the store has a row, for a write on condition. */
+    StorePosition position(String key) {
+        return mTable.find(key)
+                .map(SharedRow::position)
+                .orElse(StorePosition.of(mPosition.era(), 0));
+    }
+
+    /** Returns whether what is known of the store's rows is of its newest era. */
+    boolean isCurrent() {
+        return mRead && mPosition.era() == era().newest();
     }
 
     // ---------------------------------------------------------------- life-cycle
@@ -115,14 +148,21 @@
         if (isStopped()) {
             return;
         }
-        SharedRow own = mKnown.get(ownKey());
-        if (own == null || !own.value().equals(link().address())) {
+        Optional<SharedRow> own = mTable.find(ownKey());
+        boolean isThere = own.isPresent() && own.get().value().equals(link().address());
+        if (!isThere || mTable.isAhead(ownKey())) {
             mRows.put(ownKey(), link().address()).exceptionally(e -> logNotWritten("register", e));
         }
     }
 
     // ---------------------------------------------------------------- the store
 
+    /** Says whom a return of the store is told to: one router reads and tells it to all. */
+    private enum Telling {
+        ALL,
+        NOBODY
+    }
+
     private void readAll() {
         if (!isStopped()) {
             mRows.readAll().whenComplete(this::onAll);
@@ -136,16 +176,29 @@
         }
         mFailures = 0;
         boolean first = !mRead;
-        noteStoreClock(read.readAt());
+        takeAll(read, Telling.ALL);
         mRead = true;
-        mRevision = Math.max(mRevision, read.revision());
-        read.value().forEach(this::take);
         if (first) {
             register();
         }
         later(GATHER_MILLIS + spread(), this::follow);
     }
 
+    private void takeAll(Versioned<List<SharedRow>> read, Telling telling) {
+        noteStoreClock(read.readTime());
+        if (!mRead || !read.position().isOfLaterEraThan(mPosition)) {
+            mPosition = StorePosition.newer(mPosition, read.position());
+            read.value().forEach(this::take);
+            return;
+        }
+        StorePosition since = mPosition;
+        List<SharedRow> differing = mTable.differing(read.value(), read.position().era());
+        turn(since, read.position(), differing);
+        if (telling == Telling.ALL) {
+            tell(new PeerMessage.Rows(read.readAt(), since, read.position(), true, differing));
+        }
+    }
+
     /** Waits for changes, unless another router does and tells what changes. */
     private void follow() {
         if (isStopped()) {
@@ -156,23 +209,42 @@
             later(quiet + spread(), this::follow);
             return;
         }
-        long since = mRevision;
+        StorePosition since = mPosition;
         mRows.awaitChanges(since, WAIT_MILLIS).whenComplete((read, e) -> onChanges(read, e, since));
     }
 
-    private void onChanges(Versioned<List<SharedRow>> read, Throwable failure, long since) {
+    private void onChanges(
+            Versioned<List<SharedRow>> read, Throwable failure, StorePosition since) {
+        boolean otherHistory =
+                failure == null
+                        ? !read.position().isOfEraOf(since)
+                        : SourceException.isHistoryGone(failure);
+        if (otherHistory) {
+            StorePosition stale = mPosition;
+            later(pauseAfter(1) + rereadPause(), () -> resume(stale));
+            return;
+        }
         if (failure != null) {
-            later(pauseAfter(++mFailures), this::readAll);
+            later(pauseAfter(++mFailures), this::follow);
             return;
         }
         mFailures = 0;
-        noteStoreClock(read.readAt());
-        mRevision = Math.max(mRevision, read.revision());
+        noteStoreClock(read.readTime());
+        mPosition = StorePosition.newer(mPosition, read.position());
         read.value().forEach(this::take);
-        tell(new PeerMessage.Rows(read.readAt(), since, read.revision(), true, read.value()));
+        tell(new PeerMessage.Rows(read.readAt(), since, read.position(), true, read.value()));
         later(GATHER_MILLIS, this::follow);
     }
 
+    /** Waits on if another router has told meanwhile what the store holds; else reads all. */
+    private void resume(StorePosition stale) {
+        if (mPosition.isAfter(stale)) {
+            follow();
+        } else {
+            readAll();
+        }
+    }
+
     private void tell(PeerMessage.Rows m) {
         if (!link().tell(m)) {
             link().tell(new PeerMessage.Rows(m.readAt(), m.since(), m.until(), false, List.of()));
@@ -190,8 +262,8 @@
     /** Takes a row in that this router has written, and tells it to the others. */
     void onWritten(SharedRow row) {
         take(row);
-        if (row.revision() > 0) {
-            tell(new PeerMessage.Rows(0, 0, 0, true, List.of(row)));
+        if (row.exists()) {
+            tell(PeerMessage.Rows.written(row));
         }
     }
 
@@ -202,19 +274,22 @@
 
     /** Takes in what another router tells of the rows. */
     void onMessage(PeerMessage.Rows m, InetSocketAddress sender) {
-        if (m.until() == 0) {
-            m.rows().forEach(this::take); // one that its writer tells of
+        if (m.isWritten()) {
+            m.rows().forEach(this::take);
             return;
         }
-        noteStoreClock(m.readAt());
+        noteStoreClock(m.readTime());
         if (link().goesBefore(sender)) {
             mRole.onHeard(now());
         }
-        if (m.until() <= mRevision || !mRead) {
+        if (!m.until().isAfter(mPosition) || !mRead) {
             return;
         }
-        if (m.whole() && m.since() <= mRevision) {
-            mRevision = m.until();
+        boolean isReturn = m.until().isOfLaterEraThan(mPosition);
+        if (m.whole() && isReturn && m.since().equals(mPosition)) {
+            turn(m.since(), m.until(), m.rows());
+        } else if (m.whole() && !isReturn && !m.since().isAfter(mPosition)) {
+            mPosition = m.until();
             m.rows().forEach(this::take);
         } else {
             catchUp();
@@ -227,9 +302,22 @@
             return;
         }
         mCatchingUp = true;
-        mRows.awaitChanges(mRevision, 0)
-                .exceptionallyCompose(e -> mRows.readAll()) // the history may be gone
-                .whenComplete(this::onCaughtUp);
+        if (isCurrent()) {
+            StorePosition since = mPosition;
+            mRows.awaitChanges(since, 0)
+                    .thenCompose(read -> wholeUnless(read.position().isOfEraOf(since), read))
+                    .exceptionallyCompose(e -> mRows.readAll()) // the history may be gone
+                    .whenComplete(this::onCaughtUp);
+        } else {
+            // All routers may have missed the same: each reads at a moment of its own.
+            long span = Math.max(1, CATCH_UP_SPREAD_MILLIS_A_ROUTER * link().others());
+            later(random().nextLong(span), () -> mRows.readAll().whenComplete(this::onCaughtUp));
+        }
+    }
+
+    private CompletableFuture<Versioned<List<SharedRow>>> wholeUnless(
+            boolean follows, Versioned<List<SharedRow>> read) {
+        return follows ? CompletableFuture.completedFuture(read) : mRows.readAll();
     }
 
     /** Leaves a failure to the next message, which finds the same gap. */
@@ -239,8 +327,7 @@
             Event.of("shared_rows_not_read").with("cause", failure.getMessage()).log();
             return;
         }
-        mRevision = Math.max(mRevision, read.revision());
-        read.value().forEach(this::take);
+        takeAll(read, Telling.NOBODY);
     }
 
     /** Takes another router's rows while the store cannot be read. */
@@ -252,16 +339,12 @@
 
     /** Takes a row in unless a newer state of it is known. */
     private void take(SharedRow row) {
-        SharedRow known = mKnown.get(row.key());
-        boolean absent = row.revision() == 0;
-        if (known != null && !absent && row.revision() <= known.revision()) {
-            return;
-        }
-        if (absent) {
-            mKnown.remove(row.key());
-        } else {
-            mKnown.put(row.key(), row);
+        if (mTable.take(row)) {
+            onNews(row);
         }
+    }
+
+    private void onNews(SharedRow row) {
         if (row.key().startsWith(ROUTER)) {
             takeRouter(row);
         } else {
@@ -269,6 +352,78 @@
         }
     }
 
+    // ---------------------------------------------------------------- a return of the store
+
+    /**
+     * Moves on to a later era. What routers wrote and the store lacks is written again: this
+     * router's row by itself, those that all share by whoever reads for all, or else by another.
+     */
+    private void turn(StorePosition since, StorePosition until, List<SharedRow> differing) {
+        mTable.turn(since, until.era(), differing).forEach(this::onNews);
+        mPosition = until;
+        Event.always("shared_rows_returned")
+                .with("since", since)
+                .with("now", until)
+                .with("differing", differing.size())
+                .with("ahead", mTable.ahead().size())
+                .log();
+        long span = Math.max(1, CATCH_UP_SPREAD_MILLIS_A_ROUTER * link().others());
+        later(random().nextLong(span), this::register);
+        later(REGISTER_MILLIS + random().nextLong(span), this::register);
+        later(isReader() ? 0 : OTHERS_WRITE_MILLIS + random().nextLong(span), this::writeAgain);
+        later(FORGET_ROUTERS_MILLIS, this::forgetRouters);
+    }
+
+    /** Writes rows that the store lacks, one after another, until it has them all. */
+    private void writeAgain() {
+        if (isStopped() || mWritingAgain || !isCurrent()) {
+            return;
+        }
+        if (isReader()) {
+            mTable.takeRevived().forEach(this::removeAgain);
+        }
+        Optional<SharedRow> next = mTable.ahead().stream().filter(r -> !isRouter(r)).findFirst();
+        if (next.isEmpty()) {
+            return;
+        }
+        mWritingAgain = true;
+        SharedRow row = next.get();
+        mRows.compareAndSet(row.key(), row.value(), row.position())
+                .whenComplete((now, failure) -> onWrittenAgain(row, now, failure));
+    }
+
+    private void onWrittenAgain(SharedRow row, SharedRow now, Throwable failure) {
+        mWritingAgain = false;
+        if (failure != null) {
+            logNotWritten(row.key(), failure);
+            later(REGISTER_MILLIS, this::writeAgain);
+        } else if (now.value().equals(row.value())) {
+            onWritten(now);
+            writeAgain();
+        } else {
+            onRead(now);
+            later(GATHER_MILLIS, this::writeAgain);
+        }
+    }
+
+    private void removeAgain(SharedRow row) {
+        mRows.remove(row.key()).exceptionally(e -> logNotWritten(row.key(), e));
+    }
+
+    private static boolean isRouter(SharedRow row) {
+        return row.key().startsWith(ROUTER);
+    }
+
+    /** Forgets the routers that have not written their rows again: they had ended. */
+    private void forgetRouters() {
+        for (SharedRow r : mTable.ahead()) {
+            if (isRouter(r) && !r.key().equals(ownKey())) {
+                mTable.forget(r.key());
+                link().remove(r.key().substring(ROUTER.length()));
+            }
+        }
+    }
+
     private void takeRouter(SharedRow row) {
         String host = row.key().substring(ROUTER.length());
         if (row.value().isEmpty()) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Seats.java
@@ -59,7 +59,6 @@
     private final RandomGenerator mRandom;
     private final TargetDirectory mTargets;
     private final Map<String, SeatTable> mTables = new HashMap<>();
-    private final Map<String, Long> mRevisions = new HashMap<>();
     private final Map<String, SeatPlanner> mPlanners = new HashMap<>();
     private final Map<String, Long> mLastRequest = new HashMap<>();
     private final Map<String, SpillShare> mSpills = new HashMap<>();
@@ -162,11 +161,10 @@
 
     /** Takes in a row that changed, if it is one of seats; one that vanished changes nothing. */
     void take(SharedRow row) {
-        if (!row.key().startsWith(SEATS) || row.revision() == 0) {
+        if (!row.key().startsWith(SEATS) || !row.exists()) {
             return;
         }
         String pool = row.key().substring(SEATS.length());
-        mRevisions.put(pool, row.revision());
         SeatTable table = SeatTable.of(Arrays.asList(row.value().split(",")));
         SeatTable before = table(pool);
         mTables.put(pool, table);
@@ -175,7 +173,7 @@
             noteAdded(pool, before, table);
             Event.always("seats")
                     .with("pool", pool)
-                    .with("revision", row.revision())
+                    .with("position", row.position())
                     .with("holders", table)
                     .log();
         }
@@ -220,7 +218,7 @@
     /** Looks whether a pool's seats should change, and proposes it after a random moment. */
     void plan(TrafficConfig config) {
         long now = mClock.nowMillis();
-        if (!mFollower.isRead() || mProposing || mStopped) {
+        if (!mFollower.isCurrent() || mProposing || mStopped) {
             return;
         }
         for (Pool p : config.pools()) {
@@ -257,7 +255,7 @@
             return;
         }
         String value = String.join(",", next.get().holders());
-        mRows.compareAndSet(SEATS + pool, value, mRevisions.getOrDefault(pool, 0L))
+        mRows.compareAndSet(SEATS + pool, value, mFollower.position(SEATS + pool))
                 .whenComplete(
                         (row, failure) -> {
                             mProposing = false;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/spi/SharedRows.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/spi/SharedRows.java
@@ -1,5 +1,7 @@
 package org.forkseam.direct.spi;
 
+import org.forkseam.core.store.StorePosition;
+
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
@@ -13,16 +15,17 @@
     /** Reads all rows. */
     CompletableFuture<Versioned<List<SharedRow>>> readAll();
 
-    /** Waits for rows changed since a revision. */
-    CompletableFuture<Versioned<List<SharedRow>>> awaitChanges(long revision, long waitMillis);
+    /** Waits for rows changed since a position; an answer of another era may lack changes. */
+    CompletableFuture<Versioned<List<SharedRow>>> awaitChanges(
+            StorePosition since, long waitMillis);
 
     /**
      * Writes a row if it still has the revision given, and returns the row as it then is: the one
      * written, or another router's.
      *
-     * @param revision the row's revision when read; 0 if it must be absent
+     * @param expected the row's position when read; revision 0 if it must be absent
      */
-    CompletableFuture<SharedRow> compareAndSet(String key, String value, long revision);
+    CompletableFuture<SharedRow> compareAndSet(String key, String value, StorePosition expected);
 
     /** Writes a row whatever it holds. */
     CompletableFuture<Void> put(String key, String value);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/spi/Versioned.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/spi/Versioned.java
@@ -17,9 +17,4 @@
     public StoreTime readTime() {
         return StoreTime.of(position.era(), readAt);
     }
-
-    /** Returns the revision that was read. */
-    public long revision() {
-        return position.revision();
-    }
 }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
@@ -51,7 +51,11 @@
                             List.of("i-1", "ö")));
     private static final PeerMessage ROWS =
             new PeerMessage.Rows(
-                    7, 8, 9, true, List.of(new SharedRow("seats/p", "i,j", 9), gone()));
+                    7,
+                    StorePosition.of(1, 8),
+                    StorePosition.of(2, 9),
+                    true,
+                    List.of(new SharedRow("seats/p", "i,j", StorePosition.of(2, 9)), gone()));
     private static final PeerMessage LEARNED =
             new PeerMessage.Learned(
                     List.of(new LoadReading(-5, 17, 999), new LoadReading(3, 0, 0)),
@@ -90,7 +94,7 @@
                             CallerLimits.defaults()));
 
     private static SharedRow gone() {
-        return new SharedRow("router/h", "", 0);
+        return SharedRow.absent("router/h", 2);
     }
 
     private static ByteBuf written(PeerMessage m) {
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
@@ -83,7 +83,7 @@
                                 "l", new Team("u", OptionalInt.empty(), List.of())),
                         new CallerLimits(1, 2, 3, 4));
         TargetEntry entry = new TargetEntry("i", "p", "10.0.0.1:1", "z", 4, true, 0);
-        SharedRow seats = new SharedRow("seats/p", "i,j", 5);
+        SharedRow seats = new SharedRow("seats/p", "i,j", StorePosition.of(3, 5));
         Evacuations evacuations = Evacuations.create();
         evacuations.replace(StorePosition.of(3, 12), List.of("z"), 0);
         PeerSnapshot read =
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/QuarantineTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/QuarantineTest.java
@@ -51,6 +51,10 @@
         private volatile int mWrites;
         private volatile Consumer<SharedRow> mListener = r -> {};
 
+        private StorePosition next() {
+            return StorePosition.of(0, mRevision.incrementAndGet());
+        }
+
         private <T> CompletableFuture<T> reply(Callable<T> call) {
             if (mAway) {
                 return CompletableFuture.failedFuture(SourceException.of("away"));
@@ -73,20 +77,22 @@
         }
 
         @Override
-        public CompletableFuture<Versioned<List<SharedRow>>> awaitChanges(long rev, long wait) {
+        public CompletableFuture<Versioned<List<SharedRow>>> awaitChanges(
+                StorePosition since, long wait) {
             return new CompletableFuture<>();
         }
 
         @Override
-        public CompletableFuture<SharedRow> compareAndSet(String key, String value, long rev) {
+        public CompletableFuture<SharedRow> compareAndSet(
+                String key, String value, StorePosition expected) {
             mWrites++;
             return reply(
                     () -> {
-                        SharedRow now = mAll.getOrDefault(key, new SharedRow(key, "", 0));
-                        if (now.revision() != rev) {
+                        SharedRow now = mAll.getOrDefault(key, SharedRow.absent(key, 0));
+                        if (!now.position().equals(expected)) {
                             return now;
                         }
-                        SharedRow next = new SharedRow(key, value, mRevision.incrementAndGet());
+                        SharedRow next = new SharedRow(key, value, next());
                         mAll.put(key, next);
                         return next;
                     });
@@ -94,7 +100,7 @@
 
         @Override
         public CompletableFuture<Void> put(String key, String value) {
-            SharedRow row = new SharedRow(key, value, mRevision.incrementAndGet());
+            SharedRow row = new SharedRow(key, value, next());
             mAll.put(key, row);
             mListener.accept(row);
             return CompletableFuture.completedFuture(null);
@@ -144,8 +150,17 @@
         /** Takes what another router tells of the rows, at a time of the store's clock. */
         void hear(long storeMillis) {
             List<SharedRow> rows = List.copyOf(mRows.mAll.values());
-            mFollower.onMessage(new PeerMessage.Rows(storeMillis, 0, 1, true, List.of()), OTHER);
-            mFollower.onMessage(new PeerMessage.Rows(0, 0, 0, true, rows), OTHER);
+            mFollower.onMessage(
+                    new PeerMessage.Rows(
+                            storeMillis,
+                            StorePosition.of(0, 0),
+                            StorePosition.of(0, 1),
+                            true,
+                            List.of()),
+                    OTHER);
+            mFollower.onMessage(
+                    new PeerMessage.Rows(0, StorePosition.NONE, StorePosition.NONE, true, rows),
+                    OTHER);
         }
 
         void crash(long content, int crash) throws Exception {
@@ -462,7 +477,7 @@
     @Test
     void anOperatorWhoRemovesTheRowReleasesTheRequest() throws Exception {
         mRouter.convict(CONTENT);
-        onLoop(() -> mRouter.mFollower.onRead(new SharedRow(KEY, "", 0)));
+        onLoop(() -> mRouter.mFollower.onRead(SharedRow.absent(KEY, 0)));
         assertThat(mRouter.verdict(CONTENT)).isEqualTo(Verdict.SERVE);
     }
 
@@ -474,7 +489,11 @@
         rows.put("quarantine/00112233445566778899", "1,2,");
         rows.put(KEY, "soon");
         for (Map.Entry<String, String> e : rows.entrySet()) {
-            onLoop(() -> mRouter.mFollower.onRead(new SharedRow(e.getKey(), e.getValue(), 99)));
+            onLoop(
+                    () ->
+                            mRouter.mFollower.onRead(
+                                    new SharedRow(
+                                            e.getKey(), e.getValue(), StorePosition.of(0, 99))));
         }
         assertThat(mRouter.verdict(CONTENT)).isEqualTo(Verdict.SERVE);
         assertThat(call(() -> mRouter.mQuarantine.dump())).isEmpty();
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/RowFollowerTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/RowFollowerTest.java
@@ -48,7 +48,7 @@
 
         @Override
         public CompletableFuture<Versioned<List<SharedRow>>> awaitChanges(
-                long revision, long waitMillis) {
+                StorePosition since, long waitMillis) {
             if (waitMillis == 0) {
                 return CompletableFuture.failedFuture(SourceException.historyGone());
             }
@@ -57,7 +57,8 @@
         }
 
         @Override
-        public CompletableFuture<SharedRow> compareAndSet(String key, String value, long rev) {
+        public CompletableFuture<SharedRow> compareAndSet(
+                String key, String value, StorePosition expected) {
             return CompletableFuture.failedFuture(SourceException.of("not used"));
         }
 
@@ -109,14 +110,19 @@
         Thread.sleep(SETTLE_MILLIS);
     }
 
+    private static SharedRow row(String key, String value, long revision) {
+        return new SharedRow(key, value, StorePosition.of(0, revision));
+    }
+
     private static PeerMessage.Rows message(long since, long until, SharedRow... rows) {
-        return new PeerMessage.Rows(1, since, until, true, List.of(rows));
+        return new PeerMessage.Rows(
+                1, StorePosition.of(0, since), StorePosition.of(0, until), true, List.of(rows));
     }
 
     @Test
     void rowsThatAreToldAreTakenWithoutAnotherRead() throws Exception {
         start();
-        SharedRow row = new SharedRow("seats/p", "a,b", 11);
+        SharedRow row = row("seats/p", "a,b", 11);
         onLoop(() -> mFollower.onMessage(message(9, 12, row), OTHER));
         assertThat(mTaken).containsExactly(row);
         assertThat(mRows.mReads).isEqualTo(1);
@@ -125,8 +131,8 @@
     @Test
     void rowsToldTwiceOrTooLateChangeNothing() throws Exception {
         start();
-        SharedRow older = new SharedRow("seats/p", "a,b", 11);
-        SharedRow newer = new SharedRow("seats/p", "a,c", 13);
+        SharedRow older = row("seats/p", "a,b", 11);
+        SharedRow newer = row("seats/p", "a,c", 13);
         onLoop(() -> mFollower.onMessage(message(9, 14, newer), OTHER));
         onLoop(() -> mFollower.onMessage(message(9, 12, older), OTHER));
         onLoop(() -> mFollower.onMessage(message(9, 14, newer), OTHER));
@@ -139,7 +145,7 @@
         start();
         List<SharedRow> expected = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            SharedRow row = new SharedRow("seats/p" + i, "a", 20 + i);
+            SharedRow row = row("seats/p" + i, "a", 20 + i);
             expected.add(row);
             mRows.mAll.add(row);
             long since = 30 + i;
