Let one router read the list for all after an outage, and decide by it what was kept

Callers saw: nothing. After an outage or a return of the store each router read the list by itself, again and again for the two seconds in which targets are kept, and once more at their end: at 340 routers and 830 targets some 0.2 MB each time. Cause: what others told was passed over while anything was kept, so that each decided by reading. Ruled out: deciding by the list known when the time is over (it may be older than that). The list that decides is one that was read after the time was over, by whomever; routers read at moments of 2 ms a router, 0.25 s at most.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
@@ -36,6 +36,12 @@
      */
     private static final long MIN_RETRY_MILLIS = 500;
 
+    /**
+     * When it is decided what is kept after an outage, routers read at moments of such a span,
+     * times their number: one reads, and the others hear of it before their moment.
+     */
+    private static final long DECISION_SPREAD_MILLIS_A_ROUTER = 2;
+
     private final FleetSource mSource;
     private final TargetDirectory mTargets = TargetDirectory.create();
     private long mPauseMillis;
@@ -167,16 +173,26 @@
     private void planDecision() {
         long wait = untilDecided(now());
         if (wait < Long.MAX_VALUE && (mDecision == null || mDecision.isDone())) {
-            mDecision = later(Math.max(0, wait), this::decide);
+            long span = Math.min(SPREAD_MILLIS, DECISION_SPREAD_MILLIS_A_ROUTER * link().others());
+            mDecision = later(Math.max(0, wait) + random().nextLong(span + 1), this::decide);
         }
     }
 
+    /** Reads the list unless another router has read it since the time was over, and told it. */
     private void decide() {
         if (untilDecided(now()) < Long.MAX_VALUE) {
-            read(Telling.NOBODY);
+            read(Telling.ALL);
         }
     }
 
+    /** Returns whether a list was read too early to tell what has left of what is kept. */
+    private boolean isTooEarly(StoreTime readAt) {
+        long now = now();
+        return mTargets.keepsMissing()
+                && now >= mTargets.keepMissingUntil()
+                && inOwnTime(readAt) < mTargets.keepMissingUntil();
+    }
+
     /** Returns after how long what is kept or passed over is decided; at most never. */
     private long untilDecided(long now) {
         long until = Long.MAX_VALUE;
@@ -279,14 +295,18 @@
         take(list, news.position(), inOwnTime(mReadAt));
     }
 
-    /** What is kept for a while after an outage is decided by reading anew. */
+    /** What is kept for a while after an outage is decided by a list that was read after it. */
     private boolean isOutOfTurn(StoreTime readAt) {
-        return !readAt.isAfter(mReadAt) || !mListed || mTargets.keepsMissing();
+        return !readAt.isAfter(mReadAt) || !mListed || isTooEarly(readAt);
     }
 
+    /** Takes in that the list known was the newest then, and decides by it what is due. */
     private void confirm(StoreTime readAt) {
         mReadAt = readAt;
         mConfirmedAt = inOwnTime(readAt);
+        if (mTargets.keepsMissing() || mTargets.passesOver()) {
+            take(mList, mTargets.position(), mConfirmedAt);
+        }
     }
 
     /** Translates a moment of the store's clock; one that has started anew tells no age. */
