--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
@@ -79,7 +79,7 @@
 
     /** Returns whether the other routers are known, from the store or from one of them. */
     boolean knowsRouters() {
-        return mRead || !mTable.known().isEmpty();
+        return mRead || !mTable.isEmpty();
     }
 
     /** Returns whether this router reads the rows for all, as far as it knows. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowTable.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowTable.java
@@ -40,6 +40,11 @@
         return mEntries.values().stream().map(Entry::row).toList();
     }
 
+    /** Returns whether no row is known. */
+    boolean isEmpty() {
+        return mEntries.isEmpty();
+    }
+
     /** Returns a row, as it holds here. */
     Optional<SharedRow> find(String key) {
         return Optional.ofNullable(mEntries.get(key)).map(Entry::row);
@@ -133,6 +138,9 @@
         mEntries.replaceAll(
                 (key, e) -> {
                     SharedRow now = other.remove(key);
+                    if (e.row().position().era() >= era) {
+                        return e; // told by its writer already
+                    }
                     return now == null ? unchanged(e.row(), since, era) : changed(e.row(), now);
                 });
         List<SharedRow> news = new ArrayList<>();
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/RowTableTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/RowTableTest.java
@@ -95,6 +95,16 @@
         assertThat(mTable.ahead()).containsExactly(row(2, 0, "a", "x"));
     }
 
+    /** Its writer has told of it before anybody told of the return. */
+    @Example
+    void aRowWrittenAfterTheReturnIsNotTakenForALostOne() {
+        mTable.take(row(1, 5, "a", "x"));
+        mTable.take(row(2, 7, "a", "y"));
+        mTable.turn(StorePosition.of(1, 9), 2, List.of(row(2, 4, "a", "w")));
+        assertThat(mTable.ahead()).isEmpty();
+        assertThat(mTable.find("a").orElseThrow()).isEqualTo(row(2, 7, "a", "y"));
+    }
+
     /**
      * Two routers that know the same: one reads all after the return, the other takes what that one
      * tells. Whatever the copy holds, both know the same again, and nothing newer is lost.
