Write again by the router that has read the rows, and move that out of the follower

Callers saw: nothing. After an absence of over 2.5 s every router takes itself for the one that reads for all, so that each would have written what all share: rows times routers. Cause: the choice rested on who had been heard; nobody is heard of the store while it is away. Ruled out: the lowest address: it may be the one that is cut off. Conclusion: whoever has read the rows after the return writes first, the others 1.5 s later.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigFollower.java
@@ -139,15 +139,6 @@
         }
     }
 
-    /** Waits on if another router has told meanwhile what the store holds; else reads all. */
-    private void resume(StorePosition stale) {
-        if (mPosition.isAfter(stale)) {
-            follow();
-        } else {
-            start();
-        }
-    }
-
     /**
      * Waits for a newer configuration, unless another router does and tells what it hears: then
      * this one only looks whether the other is still heard.
@@ -177,8 +168,7 @@
     }
 
     private void readAnew() {
-        StorePosition stale = mPosition;
-        later(pauseAfter(1) + rereadPause(), () -> resume(stale));
+        rereadUnlessTold(() -> mPosition, this::follow, this::start);
     }
 
     private void onRead(
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/FollowerBase.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/FollowerBase.java
@@ -2,10 +2,12 @@
 
 import io.netty.channel.EventLoop;
 
+import org.forkseam.core.store.StorePosition;
 import org.forkseam.core.util.Clock;
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 /** Is the common part of what follows something in the store. Used on the event loop. */
@@ -99,11 +101,25 @@
         return mAround.era();
     }
 
+    /**
+     * Reads all anew, the history of before being gone, unless another router tells meanwhile what
+     * the store holds now.
+     *
+     * @param known up to where this router knows the store
+     * @param follow goes on from there
+     */
+    final void rereadUnlessTold(Supplier<StorePosition> known, Runnable follow, Runnable read) {
+        StorePosition stale = known.get();
+        later(
+                pauseAfter(1) + rereadPause(),
+                () -> (known.get().isAfter(stale) ? follow : read).run());
+    }
+
     /**
      * Returns the pause before this router reads all anew because the history of before is gone:
      * all routers find that at the same time, and one of them tells the others.
      */
-    final long rereadPause() {
+    private long rereadPause() {
         if (link().goesFirst()) {
             return 0;
         }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
@@ -11,14 +11,13 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 
 /**
- * Follows the rows that routers share, and keeps this router's own row there. One router waits for
- * changes and tells the others the rows that changed. Used on the event loop.
+ * Follows the rows that routers share. One router waits for changes and tells the others the rows
+ * that changed. Used on the event loop.
  *
  * <p>When every router waited for itself, each row that one wrote at its start woke all others.
  * With changes of the list told as well, 33 routers made 501 calls in place of 1,643 on a day of 53
@@ -37,28 +36,19 @@
     /** Rows that change within such a span are read together. Unit: milliseconds. */
     private static final long GATHER_MILLIS = 100;
 
-    /** A router that the rows do not name writes its own anew after so long. */
-    private static final long REGISTER_MILLIS = 5_000;
-
     /** After a return of the store, routers write or read at moments of such a span, times all. */
-    private static final long CATCH_UP_SPREAD_MILLIS_A_ROUTER = 10;
-
-    /** The router that reads for all writes again first; the others if it has not. */
-    private static final long OTHERS_WRITE_MILLIS = 1_500;
-
-    /** A router that is cut off from the store may write its row again so late. */
-    private static final long FORGET_ROUTERS_MILLIS = 60_000;
+    static final long CATCH_UP_SPREAD_MILLIS_A_ROUTER = 10;
 
     private final SharedRows mRows;
     private final Consumer<SharedRow> mListener;
     private final ReaderRole mRole = ReaderRole.of(HEARD_MILLIS);
     private final RowTable mTable = new RowTable();
+    private final RowRestorer mRestorer;
     private StorePosition mPosition = StorePosition.NONE;
     private boolean mRead;
     private int mFailures;
     private OptionalLong mStoreAhead = OptionalLong.empty();
     private int mClockEra;
-    private boolean mWritingAgain;
     private boolean mCatchingUp;
 
     /**
@@ -70,6 +60,7 @@
         super(around);
         mRows = rows;
         mListener = listener;
+        mRestorer = new RowRestorer(around, rows, mTable, this);
     }
 
     /** Returns whether the rows were read from the store. */
@@ -129,30 +120,14 @@
 
     void start() {
         readAll();
-        later(REGISTER_MILLIS, this::register);
+        mRestorer.start();
     }
 
     /** Removes this router's name, so that the others reckon with one router less. */
     @Override
     void stop() {
         super.stop();
-        mRows.remove(ownKey()).exceptionally(e -> logNotWritten("unregister", e));
-    }
-
-    private String ownKey() {
-        return ROUTER + link().host();
-    }
-
-    /** Writes this router's row unless it is there, from an earlier life for instance. */
-    private void register() {
-        if (isStopped()) {
-            return;
-        }
-        Optional<SharedRow> own = mTable.find(ownKey());
-        boolean isThere = own.isPresent() && own.get().value().equals(link().address());
-        if (!isThere || mTable.isAhead(ownKey())) {
-            mRows.put(ownKey(), link().address()).exceptionally(e -> logNotWritten("register", e));
-        }
+        mRestorer.stop();
     }
 
     // ---------------------------------------------------------------- the store
@@ -179,7 +154,7 @@
         takeAll(read, Telling.ALL);
         mRead = true;
         if (first) {
-            register();
+            mRestorer.register();
         }
         later(GATHER_MILLIS + spread(), this::follow);
     }
@@ -193,7 +168,7 @@
         }
         StorePosition since = mPosition;
         List<SharedRow> differing = mTable.differing(read.value(), read.position().era());
-        turn(since, read.position(), differing);
+        turn(since, read.position(), differing, telling == Telling.ALL);
         if (telling == Telling.ALL) {
             tell(new PeerMessage.Rows(read.readAt(), since, read.position(), true, differing));
         }
@@ -220,8 +195,7 @@
                         ? !read.position().isOfEraOf(since)
                         : SourceException.isHistoryGone(failure);
         if (otherHistory) {
-            StorePosition stale = mPosition;
-            later(pauseAfter(1) + rereadPause(), () -> resume(stale));
+            rereadUnlessTold(() -> mPosition, this::follow, this::readAll);
             return;
         }
         if (failure != null) {
@@ -236,15 +210,6 @@
         later(GATHER_MILLIS, this::follow);
     }
 
-    /** Waits on if another router has told meanwhile what the store holds; else reads all. */
-    private void resume(StorePosition stale) {
-        if (mPosition.isAfter(stale)) {
-            follow();
-        } else {
-            readAll();
-        }
-    }
-
     private void tell(PeerMessage.Rows m) {
         if (!link().tell(m)) {
             link().tell(new PeerMessage.Rows(m.readAt(), m.since(), m.until(), false, List.of()));
@@ -287,7 +252,7 @@
         }
         boolean isReturn = m.until().isOfLaterEraThan(mPosition);
         if (m.whole() && isReturn && m.since().equals(mPosition)) {
-            turn(m.since(), m.until(), m.rows());
+            turn(m.since(), m.until(), m.rows(), false);
         } else if (m.whole() && !isReturn && !m.since().isAfter(mPosition)) {
             mPosition = m.until();
             m.rows().forEach(this::take);
@@ -345,7 +310,7 @@
     }
 
     private void onNews(SharedRow row) {
-        if (row.key().startsWith(ROUTER)) {
+        if (isRouter(row)) {
             takeRouter(row);
         } else {
             mListener.accept(row);
@@ -355,10 +320,12 @@
     // ---------------------------------------------------------------- a return of the store
 
     /**
-     * Moves on to a later era. What routers wrote and the store lacks is written again: this
-     * router's row by itself, those that all share by whoever reads for all, or else by another.
+     * Moves on to a later era.
+     *
+     * @param isTeller whether this router has read the rows, and others have not
      */
-    private void turn(StorePosition since, StorePosition until, List<SharedRow> differing) {
+    private void turn(
+            StorePosition since, StorePosition until, List<SharedRow> differing, boolean isTeller) {
         mTable.turn(since, until.era(), differing).forEach(this::onNews);
         mPosition = until;
         Event.always("shared_rows_returned")
@@ -367,63 +334,14 @@
                 .with("differing", differing.size())
                 .with("ahead", mTable.ahead().size())
                 .log();
-        long span = Math.max(1, CATCH_UP_SPREAD_MILLIS_A_ROUTER * link().others());
-        later(random().nextLong(span), this::register);
-        later(REGISTER_MILLIS + random().nextLong(span), this::register);
-        later(isReader() ? 0 : OTHERS_WRITE_MILLIS + random().nextLong(span), this::writeAgain);
-        later(FORGET_ROUTERS_MILLIS, this::forgetRouters);
+        mRestorer.onReturn(isTeller);
     }
 
-    /** Writes rows that the store lacks, one after another, until it has them all. */
-    private void writeAgain() {
-        if (isStopped() || mWritingAgain || !isCurrent()) {
-            return;
-        }
-        if (isReader()) {
-            mTable.takeRevived().forEach(this::removeAgain);
-        }
-        Optional<SharedRow> next = mTable.ahead().stream().filter(r -> !isRouter(r)).findFirst();
-        if (next.isEmpty()) {
-            return;
-        }
-        mWritingAgain = true;
-        SharedRow row = next.get();
-        mRows.compareAndSet(row.key(), row.value(), row.position())
-                .whenComplete((now, failure) -> onWrittenAgain(row, now, failure));
-    }
-
-    private void onWrittenAgain(SharedRow row, SharedRow now, Throwable failure) {
-        mWritingAgain = false;
-        if (failure != null) {
-            logNotWritten(row.key(), failure);
-            later(REGISTER_MILLIS, this::writeAgain);
-        } else if (now.value().equals(row.value())) {
-            onWritten(now);
-            writeAgain();
-        } else {
-            onRead(now);
-            later(GATHER_MILLIS, this::writeAgain);
-        }
-    }
-
-    private void removeAgain(SharedRow row) {
-        mRows.remove(row.key()).exceptionally(e -> logNotWritten(row.key(), e));
-    }
-
-    private static boolean isRouter(SharedRow row) {
+    /** Returns whether a row names a router. */
+    static boolean isRouter(SharedRow row) {
         return row.key().startsWith(ROUTER);
     }
 
-    /** Forgets the routers that have not written their rows again: they had ended. */
-    private void forgetRouters() {
-        for (SharedRow r : mTable.ahead()) {
-            if (isRouter(r) && !r.key().equals(ownKey())) {
-                mTable.forget(r.key());
-                link().remove(r.key().substring(ROUTER.length()));
-            }
-        }
-    }
-
     private void takeRouter(SharedRow row) {
         String host = row.key().substring(ROUTER.length());
         if (row.value().isEmpty()) {
