Take what operators change within an era as asked anew, however a router hears of it

Callers saw: nothing. A router that is told all evacuated domains, as all but the reader are, took a domain evacuated anew after a return of the store up to 2.1 s later than the reader did, and one taken back anew as well. Cause: only a list of changes counted as asked anew. Found by reading the change. Ruled out: telling changes instead of the whole: a lost message would leave a router behind. Eras that are not believed have a metric.

--- a/forkseam-core/src/main/java/org/forkseam/core/member/Evacuations.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Evacuations.java
@@ -94,7 +94,7 @@
             mHeld = mDomains;
             mHeldUntil = now + WRITTEN_AGAIN_MILLIS;
         } else {
-            noteReturned(next);
+            noteChanges(next);
         }
         return set(position, next, now);
     }
@@ -116,11 +116,8 @@
         Set<String> next = new TreeSet<>(mTold);
         next.removeAll(returned);
         next.addAll(evacuated);
-        Set<String> held = new TreeSet<>(mHeld);
-        held.removeAll(returned);
-        mHeld = held;
-        noteReturned(next);
-        mReturnedInEra.keySet().removeAll(evacuated);
+        mHeld = without(mHeld, returned);
+        noteChanges(next);
         return set(position, next, now);
     }
 
@@ -148,12 +145,18 @@
         return era != null && era < mPosition.era();
     }
 
-    private void noteReturned(Set<String> next) {
-        for (String d : mTold) {
-            if (!next.contains(d)) {
-                mReturnedInEra.put(d, mPosition.era());
-            }
-        }
+    /** What changes within an era is what operators ask anew. */
+    private void noteChanges(Set<String> next) {
+        Set<String> returned = without(mTold, next);
+        mHeld = without(mHeld, returned);
+        returned.forEach(d -> mReturnedInEra.put(d, mPosition.era()));
+        mReturnedInEra.keySet().removeAll(without(next, mTold));
+    }
+
+    private static Set<String> without(Set<String> domains, Collection<String> others) {
+        Set<String> left = new TreeSet<>(domains);
+        left.removeAll(others);
+        return left;
     }
 
     private boolean set(StorePosition position, Set<String> next, long now) {
--- a/forkseam-core/src/test/java/org/forkseam/core/member/EvacuationsTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/member/EvacuationsTest.java
@@ -131,6 +131,18 @@
         assertThat(mState.domains()).containsExactly("b", "c");
     }
 
+    /** Most routers are told the whole, and not what has changed. */
+    @Test
+    void whatIsAskedAnewHoldsAtOnceAlsoIfToldWhole() {
+        replace(1, 40, 0, "a", "b");
+        replace(1, 50, 5, "a");
+        replace(2, 45, 10, "a");
+        replace(2, 46, 20, "a", "b");
+        assertThat(mState.domains()).containsExactly("a", "b");
+        replace(2, 47, 30, "b");
+        assertThat(mState.domains()).containsExactly("b");
+    }
+
     @Test
     void aSecondReturnHoldsWhatIsInForce() {
         replace(1, 40, 0, "a");
--- a/forkseam-direct/src/main/java/org/forkseam/direct/StoreMeters.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/StoreMeters.java
@@ -36,6 +36,10 @@
         FunctionCounter.builder("forkseam.store.returns", mKnowledge, Knowledge::storeReturns)
                 .description("times the store came back from an older copy")
                 .register(registry);
+        FunctionCounter.builder(
+                        "forkseam.store.eras.refused", mKnowledge, Knowledge::storeErasRefused)
+                .description("answers and messages of an era that cannot be")
+                .register(registry);
         Gauge.builder("forkseam.store.era", mKnowledge, Knowledge::storeEra)
                 .description("era of the store, by its own count")
                 .register(registry);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigFollower.java
@@ -112,7 +112,7 @@
 
     private void settle() {
         if (mEvacuations.settle(now())) {
-            onEvacuationsChanged("store, written again");
+            onEvacuationsChanged("store, settled");
         }
         planSettling(); // the store may have come back once more
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Knowledge.java
@@ -266,6 +266,11 @@
         return mEra.returns();
     }
 
+    /** Returns how often an era of the store was not believed. */
+    public long storeErasRefused() {
+        return mEra.refusals();
+    }
+
     /** Returns the number of routers known, at least this one. */
     public int routers() {
         return mLink.routers();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/StoreEra.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/StoreEra.java
@@ -11,7 +11,7 @@
 /**
  * Follows which era of the store is the newest, by the store's answers and by other routers. What
  * names an era that cannot be is not believed, so that harmed bytes make no router pass over all
- * that follows. Read from any thread, changed on the event loop.
+ * that follows. Used on the event loop; counts are read from any thread.
  */
 final class StoreEra {
     /** Returns that a router may have missed at once; more are bytes that were harmed. */
@@ -21,6 +21,7 @@
     private boolean mKnown;
     private volatile int mEra;
     private volatile long mReturns;
+    private volatile long mRefusals;
 
     /** Says why an era is not believed. */
     enum Refusal {
@@ -42,7 +43,12 @@
         return mReturns;
     }
 
-    /** Returns how often an era was not believed, by reason. */
+    /** Returns how often an era was not believed. */
+    long refusals() {
+        return mRefusals;
+    }
+
+    /** Returns how often an era was not believed, by reason; on the event loop only. */
     Map<String, Long> refused() {
         Map<String, Long> m = new TreeMap<>();
         mRefused.forEach((r, n) -> m.put(r.name().toLowerCase(Locale.ROOT), n));
@@ -86,6 +92,7 @@
 
     private boolean refuse(Refusal why, StorePosition position, String origin) {
         mRefused.merge(why, 1L, Long::sum);
+        mRefusals++;
         Event.of("store_era_refused")
                 .with("why", why)
                 .with("named", position)
