--- a/forkseam-core/src/main/java/org/forkseam/core/member/Evacuations.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Evacuations.java
@@ -90,7 +90,7 @@
             return false;
         }
         Set<String> next = new TreeSet<>(domains);
-        if (isReturn(position)) {
+        if (position.isReturnSince(mPosition)) {
             mHeld = mDomains;
             mHeldUntil = now + WRITTEN_AGAIN_MILLIS;
         } else {
@@ -135,10 +135,6 @@
         return true;
     }
 
-    private boolean isReturn(StorePosition position) {
-        return position.isOfLaterEraThan(mPosition) && !mPosition.equals(StorePosition.NONE);
-    }
-
     /** Returns whether a domain was taken back before the source came back. */
     private boolean isTakenBack(String domain) {
         Integer era = mReturnedInEra.get(domain);
--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetDirectory.java
@@ -101,7 +101,7 @@
         if (position.isBefore(mPosition)) {
             return List.of();
         }
-        if (isReturn(position)) {
+        if (position.isReturnSince(mPosition)) {
             onSourceReturned(now);
         }
         mPosition = position;
@@ -124,10 +124,6 @@
         return changes;
     }
 
-    private boolean isReturn(StorePosition position) {
-        return position.isOfLaterEraThan(mPosition) && !mPosition.equals(StorePosition.NONE);
-    }
-
     /** What the source held last is gone, until those who wrote it have done so again. */
     private void onSourceReturned(long now) {
         mKeepMissingUntil = now + LAPSED_BACK_MILLIS;
--- a/forkseam-core/src/main/java/org/forkseam/core/store/StorePosition.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/store/StorePosition.java
@@ -41,6 +41,11 @@
         return era > other.era;
     }
 
+    /** Returns whether the store has come back since it was last read, at a position or never. */
+    public boolean isReturnSince(StorePosition known) {
+        return isOfLaterEraThan(known) && !known.equals(NONE);
+    }
+
     /** Returns whether revisions of both count the same changes. */
     public boolean isOfEraOf(StorePosition other) {
         return era == other.era;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/FollowerBase.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/FollowerBase.java
@@ -36,11 +36,12 @@
      */
     private static final long LEFT_TO_FIRST_MILLIS = 700;
 
-    /** Then they read at random moments of a span that grows with their number. */
-    private static final long REREAD_SPREAD_MILLIS_A_ROUTER = 10;
-
+    /** Then they read at random moments of such a span at most. Unit: milliseconds. */
     private static final long MAX_REREAD_SPREAD_MILLIS = 1_000;
 
+    /** What each router may do, and one or a few need, is spread over so long a router. */
+    private static final long SPREAD_MILLIS_A_ROUTER = 10;
+
     private final Surroundings mAround;
     private boolean mStopped;
 
@@ -123,8 +124,18 @@
         if (link().goesFirst()) {
             return 0;
         }
-        long span = REREAD_SPREAD_MILLIS_A_ROUTER * link().others();
-        return LEFT_TO_FIRST_MILLIS + random().nextLong(Math.min(MAX_REREAD_SPREAD_MILLIS, span));
+        return LEFT_TO_FIRST_MILLIS + spreadOverRouters(MAX_REREAD_SPREAD_MILLIS);
+    }
+
+    /** Returns a random moment of a span that grows with the number of other routers. */
+    final long spreadOverRouters(long maxMillis) {
+        long span = Math.min(maxMillis, SPREAD_MILLIS_A_ROUTER * link().others());
+        return span == 0 ? 0 : random().nextLong(span);
+    }
+
+    /** Returns a random moment of such a span, however many routers there are. */
+    final long spreadOverRouters() {
+        return spreadOverRouters(Long.MAX_VALUE);
     }
 
     /** Returns the pause before the next try of a read that has failed so often in a row. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Quarantine.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Quarantine.java
@@ -39,8 +39,6 @@
      * longest span is half of the time in which all routers in touch with the store are to refuse.
      * Unit: milliseconds.
      */
-    private static final long WRITE_SPREAD_MILLIS_A_ROUTER = 10;
-
     private static final long MAX_WRITE_SPREAD_MILLIS = 1_500;
 
     /** Rows whose time is over are looked for so often. Unit: milliseconds. */
@@ -221,9 +219,7 @@
 
     /** Returns how long to wait for another router to write a row that this one need not. */
     private long writePause(boolean sawIt) {
-        long span =
-                Math.min(MAX_WRITE_SPREAD_MILLIS, WRITE_SPREAD_MILLIS_A_ROUTER * link().others());
-        return sawIt || span == 0 ? 0 : random().nextLong(span);
+        return sawIt ? 0 : spreadOverRouters(MAX_WRITE_SPREAD_MILLIS);
     }
 
     /** Serves a request again here, and has the row say so on all routers. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
@@ -36,9 +36,6 @@
     /** Rows that change within such a span are read together. Unit: milliseconds. */
     private static final long GATHER_MILLIS = 100;
 
-    /** After a return of the store, routers write or read at moments of such a span, times all. */
-    static final long CATCH_UP_SPREAD_MILLIS_A_ROUTER = 10;
-
     private final SharedRows mRows;
     private final Consumer<SharedRow> mListener;
     private final ReaderRole mRole = ReaderRole.of(HEARD_MILLIS);
@@ -275,8 +272,7 @@
                     .whenComplete(this::onCaughtUp);
         } else {
             // All routers may have missed the same: each reads at a moment of its own.
-            long span = Math.max(1, CATCH_UP_SPREAD_MILLIS_A_ROUTER * link().others());
-            later(random().nextLong(span), () -> mRows.readAll().whenComplete(this::onCaughtUp));
+            later(spreadOverRouters(), () -> mRows.readAll().whenComplete(this::onCaughtUp));
         }
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowRestorer.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowRestorer.java
@@ -69,10 +69,9 @@
      * @param isFirst whether this router writes what all share, unless it fails to
      */
     void onReturn(boolean isFirst) {
-        long span = Math.max(1, RowFollower.CATCH_UP_SPREAD_MILLIS_A_ROUTER * link().others());
-        later(random().nextLong(span), this::register);
-        later(REGISTER_MILLIS + random().nextLong(span), this::register);
-        long pause = isFirst ? 0 : OTHERS_WRITE_MILLIS + random().nextLong(span);
+        later(spreadOverRouters(), this::register);
+        later(REGISTER_MILLIS + spreadOverRouters(), this::register);
+        long pause = isFirst ? 0 : OTHERS_WRITE_MILLIS + spreadOverRouters();
         later(pause, () -> writeAgain(isFirst));
         later(FORGET_ROUTERS_MILLIS, this::forgetRouters);
     }
