Forget at each return of the store which rows an earlier one had brought back

A row that had been removed, came back with a copy, was removed again by another router and then written anew, would have been removed at the next return by a router that still remembered it as brought back: a request kept from targets would be served again. Cause: only the router that writes first forgot what a return had brought back; the others kept it. Ruled out: forgetting it when the row is written: what counts is one return. Why this holds: what is brought back is found out anew at each return, and used right after. Figures: the test failed first (the row is named for removal), and passes.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowTable.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowTable.java
@@ -133,6 +133,7 @@
      * @return rows that were not known
      */
     List<SharedRow> turn(StorePosition since, int era, List<SharedRow> differing) {
+        mRevived.clear(); // those of an earlier return may have been written anew since
         Map<String, SharedRow> other = new HashMap<>();
         differing.forEach(r -> other.put(r.key(), r));
         mEntries.replaceAll(
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/RowTableTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/RowTableTest.java
@@ -76,6 +76,22 @@
         assertThat(mTable.takeRevived()).isEmpty();
     }
 
+    /**
+     * Another router has removed it again, and it has been written anew: at the next return this
+     * router would remove a row that is there to stay.
+     */
+    @Example
+    void whatWasRevivedOnceAndWrittenAnewIsNotRemovedAtTheNextReturn() {
+        mTable.take(row(1, 4, "a", "x"));
+        mTable.take(SharedRow.absent("a", 1));
+        comeBack(9, row(2, 4, "a", "x"));
+        mTable.take(row(2, 6, "a", "new"));
+        List<SharedRow> read = List.of(row(3, 6, "a", "new"));
+        mTable.turn(StorePosition.of(2, 9), 3, mTable.differing(read, 3));
+        assertThat(mTable.takeRevived()).isEmpty();
+        assertThat(mTable.find("a").orElseThrow().value()).isEqualTo("new");
+    }
+
     @Example
     void whatIsToldOfAnEarlierEraChangesNothing() {
         mTable.take(row(1, 4, "a", "x"));
