Show what a router's retry budget allows and why a request is not retried

Logs and metrics could not tell how much of which limit a router had, what it had spent and by how many routers it divided the fixed allowance, so the three hypotheses could not be told apart.

Added: log line retry_denied (window's requests and retries, allowance, routers), counter forkseam_retries_total{budget}, retry_budgets and retry_budget_routers in the state dump. No change of logic.

--- a/forkseam-core/src/main/java/org/forkseam/core/outcome/SlidingWindowRetryBudget.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/outcome/SlidingWindowRetryBudget.java
@@ -20,6 +20,16 @@
     private final long[] mRetries = new long[BUCKETS];
     private long mBucket = Long.MIN_VALUE;
 
+    /**
+     * What a budget allows at a moment, for logs and dumps.
+     *
+     * @param requests requests in the window
+     * @param retries retries in the window
+     * @param allowance retries allowed in addition to the share of the requests
+     * @param remaining retries left
+     */
+    public record Usage(long requests, long retries, double allowance, double remaining) {}
+
     private SlidingWindowRetryBudget(
             DoubleSupplier share, DoubleSupplier allowance, long windowMillis) {
         mShare = share;
@@ -66,14 +76,22 @@
         return remaining();
     }
 
+    /** Returns what the budget allows and what was used of it. */
+    public Usage usage(long nowMillis) {
+        advance(nowMillis);
+        return new Usage(sum(mRequests), sum(mRetries), mAllowance.getAsDouble(), remaining());
+    }
+
     private double remaining() {
-        long requests = 0;
-        long retries = 0;
-        for (int i = 0; i < BUCKETS; i++) {
-            requests += mRequests[i];
-            retries += mRetries[i];
+        return mShare.getAsDouble() * sum(mRequests) + mAllowance.getAsDouble() - sum(mRetries);
+    }
+
+    private static long sum(long[] counts) {
+        long sum = 0;
+        for (long n : counts) {
+            sum += n;
         }
-        return mShare.getAsDouble() * requests + mAllowance.getAsDouble() - retries;
+        return sum;
     }
 
     private int advance(long nowMillis) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 
 import org.forkseam.core.member.Target;
+import org.forkseam.core.outcome.SlidingWindowRetryBudget;
 import org.forkseam.core.route.Pick;
 import org.forkseam.core.traffic.Route;
 import org.forkseam.core.traffic.RouteKind;
@@ -252,11 +253,18 @@
     private boolean mayRetry(AttemptResult result, long now) {
         boolean cannotResume = mStreaming && mLastEventId == null;
         return !mAdmission.isExpired(now)
-                && mAttempts.allowsNextAttempt(
-                        result,
-                        route(),
-                        cannotResume,
-                        () -> mContext.retryBudgets().pool(pool()).tryRetry(now));
+                && mAttempts.allowsNextAttempt(result, route(), cannotResume, () -> takeRetry(now));
+    }
+
+    /** Takes one retry from the pool's budget, or logs why none is left. */
+    private boolean takeRetry(long now) {
+        SlidingWindowRetryBudget budget = mContext.retryBudgets().pool(pool());
+        boolean taken = budget.tryRetry(now);
+        mContext.meters().onRetry(taken);
+        if (!taken) {
+            mLogger.onRetryDenied(pool(), budget.usage(now), mContext.retryBudgets().routerCount());
+        }
+        return taken;
     }
 
     // ---------------------------------------------------------------- streams
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.flow;
 
 import org.forkseam.core.member.Target;
+import org.forkseam.core.outcome.SlidingWindowRetryBudget;
 import org.forkseam.core.route.Pick;
 import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.log.Event;
@@ -88,6 +89,23 @@
                 .log();
     }
 
+    /**
+     * Logs that a request is not retried because the pool's retry budget is used up.
+     *
+     * @param routers number of routers among which the allowance is divided
+     */
+    void onRetryDenied(String pool, SlidingWindowRetryBudget.Usage usage, int routers) {
+        addNote("retry budget of pool " + pool + " used up: " + usage.retries() + " retries", "");
+        Event.of("retry_denied")
+                .with("request", mRequest.id())
+                .with("pool", pool)
+                .with("window_requests", usage.requests())
+                .with("window_retries", usage.retries())
+                .with("allowance", usage.allowance())
+                .with("routers", routers)
+                .log();
+    }
+
     void onEnd(String outcome, Summary s) {
         long durationMillis = now() - mRequest.receivedMillis();
         mContext.meters().onOutcome(outcome);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestMeters.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestMeters.java
@@ -39,6 +39,7 @@
 
     private final Map<String, Counter> mOutcomes = new HashMap<>();
     private final Map<String, Counter> mAttempts = new HashMap<>();
+    private final Map<String, Counter> mRetries = new HashMap<>();
     private final LatencyHistogram mFirstByte = new LatencyHistogram();
     private final LatencyHistogram mTotal = new LatencyHistogram();
     private Optional<MeterRegistry> mRegistry = Optional.empty();
@@ -48,6 +49,7 @@
         mRegistry = Optional.of(registry);
         mOutcomes.forEach((k, c) -> c.register("forkseam.requests", "outcome", k, registry));
         mAttempts.forEach((k, c) -> c.register("forkseam.attempts", "end", k, registry));
+        mRetries.forEach((k, c) -> c.register("forkseam.retries", "budget", k, registry));
         mFirstByte.bind(
                 registry, "forkseam.first_byte", "from a request to the first byte of its answer");
         mTotal.bind(registry, "forkseam.request", "from a request to the end of its answer");
@@ -75,6 +77,11 @@
         c.mValue++;
     }
 
+    /** Counts a retry that the pool's budget allowed or denied. */
+    void onRetry(boolean allowed) {
+        count(mRetries, "forkseam.retries", "budget", allowed ? "taken" : "denied");
+    }
+
     void onHeldForTarget() {
         count(mAttempts, "forkseam.attempts", "end", "HELD_FOR_TARGET");
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RetryBudgets.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RetryBudgets.java
@@ -4,6 +4,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.IntSupplier;
 
 /** Retry budgets by pool. Used on the event loop. */
@@ -51,4 +52,16 @@
                                 () -> mBounds.allowance() / mRouterCount.getAsInt(),
                                 mBounds.windowMillis()));
     }
+
+    /** Returns the number of routers among which the allowance is divided. */
+    int routerCount() {
+        return mRouterCount.getAsInt();
+    }
+
+    /** Returns the usage of each pool's budget, for the state dump. */
+    Map<String, SlidingWindowRetryBudget.Usage> usage(long nowMillis) {
+        Map<String, SlidingWindowRetryBudget.Usage> usage = new TreeMap<>();
+        mByPool.forEach((pool, budget) -> usage.put(pool, budget.usage(nowMillis)));
+        return usage;
+    }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -233,6 +233,8 @@
         m.put("cold_passed_over", mContext.coldStartLimiter().skipped());
         m.put("target_crashes", mContext.crashDetector().crashCount());
         m.put("leaving", mContext.isDraining());
+        m.put("retry_budgets", mContext.retryBudgets().usage(mContext.now()));
+        m.put("retry_budget_routers", mContext.retryBudgets().routerCount());
         m.put("targets", mFleetState.targets().all().stream().map(this::dump).toList());
         return m;
     }
