Keep the retries of all routers within the fleet's limit while routers restart and requests move

Targets that already fail get more work than operators agreed to.

Cause: each router limited the retries of its own last window by the requests of that window. For one router that is right; the sum over routers is not, since their windows end at different moments and their counts are lost or left behind. In one and the same ten seconds a killed router had spent what was earned before them, its successor earned and spent anew, and the routers to which its callers went had their limits raised by the same requests.

Change: in each span that ends now and is no longer than the window, retries stay within half of the share of the requests of that span and of the window before it. Summed over all processes in one window that is at most the share of the larger of two whole windows, wherever requests go and whoever restarts. A router's part of the allowance grows from zero over a window after its start, half of the allowance is divided (0.7 before), and none is used while the other routers are unknown.

SlidingWindowRetryBudgetTest is unchanged.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -262,7 +262,8 @@
         boolean taken = budget.tryRetry(now);
         mContext.meters().onRetry(taken);
         if (!taken) {
-            mLogger.onRetryDenied(pool(), budget.usage(now), mContext.retryBudgets().routerCount());
+            mLogger.onRetryDenied(
+                    pool(), budget.usage(now), mContext.retryBudgets().routerCount().orElse(0));
         }
         return taken;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
@@ -92,7 +92,7 @@
     /**
      * Logs that a request is not retried because the pool's retry budget is used up.
      *
-     * @param routers number of routers among which the allowance is divided
+     * @param routers number of routers among which the allowance is divided; 0 if unknown
      */
     void onRetryDenied(String pool, SlidingWindowRetryBudget.Usage usage, int routers) {
         addNote("retry budget of pool " + pool + " used up: " + usage.retries() + " retries", "");
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RetryBudgets.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RetryBudgets.java
@@ -1,20 +1,39 @@
 package org.forkseam.direct.flow;
 
 import org.forkseam.core.outcome.SlidingWindowRetryBudget;
+import org.forkseam.core.util.Clock;
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.TreeMap;
-import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
-/** Retry budgets by pool. Used on the event loop. */
+/**
+ * This router's retry budgets, by pool. Routers divide the limits of the fleet without messages, so
+ * that the sum stays within them while routers restart, join or leave. Used on the event loop.
+ */
 final class RetryBudgets {
     /** Safety factor on the share, since requests are counted with a delay. */
     private static final double USED_SHARE = 0.9;
 
-    private Bounds mBounds;
-    private final IntSupplier mRouterCount;
+    /** Windows whose requests count for the retries of one window. */
+    private static final int COUNTED_WINDOWS = 2;
+
+    /**
+     * Share of the allowance in use. The other half is for predecessors of restarted routers, and
+     * for routers that the others do not know yet.
+     */
+    private static final double USED_ALLOWANCE_SHARE = 0.5;
+
+    /** Minimum number of routers assumed, as some may be unknown. */
+    private static final int MIN_ROUTER_COUNT = 4;
+
+    private final Clock mClock;
+    private final long mStartedMillis;
+    private final Supplier<OptionalInt> mRouterCount;
     private final Map<String, SlidingWindowRetryBudget> mByPool = new HashMap<>();
+    private Bounds mBounds;
 
     /**
      * Retry limits for all routers together.
@@ -26,12 +45,15 @@
     record Bounds(double share, double allowance, long windowMillis) {}
 
     /**
-     * Creates the budgets.
+     * Creates the budgets of a router that starts now.
      *
-     * @param routerCount supplies the number of routers that share the allowance
+     * @param routerCount supplies the number of routers that share the allowance; empty while the
+     *     other routers are unknown
      */
-    RetryBudgets(Bounds bounds, IntSupplier routerCount) {
+    RetryBudgets(Bounds bounds, Clock clock, Supplier<OptionalInt> routerCount) {
         mBounds = bounds;
+        mClock = clock;
+        mStartedMillis = clock.nowMillis();
         mRouterCount = routerCount;
     }
 
@@ -48,14 +70,28 @@
                 name,
                 n ->
                         SlidingWindowRetryBudget.of(
-                                () -> mBounds.share() * USED_SHARE,
-                                () -> mBounds.allowance() / mRouterCount.getAsInt(),
+                                () -> mBounds.share() * USED_SHARE / COUNTED_WINDOWS,
+                                this::allowance,
                                 mBounds.windowMillis()));
     }
 
-    /** Returns the number of routers among which the allowance is divided. */
-    int routerCount() {
-        return mRouterCount.getAsInt();
+    /** Returns this router's part of the allowance, which grows from zero over the first window. */
+    private double allowance() {
+        OptionalInt routers = routerCount();
+        if (routers.isEmpty()) {
+            return 0;
+        }
+        double age = mClock.nowMillis() - mStartedMillis;
+        double grown = Math.min(1, age / mBounds.windowMillis());
+        return mBounds.allowance() * USED_ALLOWANCE_SHARE * grown / routers.getAsInt();
+    }
+
+    /** Returns the number of routers among which the allowance is divided, if it is known. */
+    OptionalInt routerCount() {
+        OptionalInt known = mRouterCount.get();
+        return known.isPresent()
+                ? OptionalInt.of(Math.max(MIN_ROUTER_COUNT, known.getAsInt()))
+                : known;
     }
 
     /** Returns the usage of each pool's budget, for the state dump. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -60,12 +60,9 @@
 
     private static final int HOME_EXTRA_REQUESTS = 2;
 
-    /** Minimum number of routers assumed when dividing shared limits, as some may be unknown. */
+    /** Minimum number of routers assumed when dividing connections, as some may be unknown. */
     private static final int MIN_ROUTER_COUNT = 4;
 
-    /** Share of the retry allowance in use, as a router may be unknown. */
-    private static final double USED_ALLOWANCE_SHARE = 0.7;
-
     private final EventLoop mLoop;
     private final EarlyServerSocket mListener;
     private final FleetState mFleetState;
@@ -95,7 +92,8 @@
                                         RegionFilter.of(settings.regions())),
                                 ColdStartLimiter.of(
                                         p.fleetState()::shareFor, mBounds.coldOvershoot()),
-                                new RetryBudgets(retryBounds(mBounds), this::routerCount),
+                                new RetryBudgets(
+                                        retryBounds(mBounds), clock, p.fleetState()::knownRouters),
                                 new ResponseFactory(p.headerCodec(), p.random()),
                                 new RequestMeters(),
                                 new ArrivalTracker(clock, p.listener().openedMillis(clock)),
@@ -130,8 +128,7 @@
     }
 
     private static RetryBudgets.Bounds retryBounds(RouterSettings.Bounds b) {
-        return new RetryBudgets.Bounds(
-                b.retryShare(), b.retryAllowance() * USED_ALLOWANCE_SHARE, b.retryWindowMillis());
+        return new RetryBudgets.Bounds(b.retryShare(), b.retryAllowance(), b.retryWindowMillis());
     }
 
     /**
@@ -234,7 +231,7 @@
         m.put("target_crashes", mContext.crashDetector().crashCount());
         m.put("leaving", mContext.isDraining());
         m.put("retry_budgets", mContext.retryBudgets().usage(mContext.now()));
-        m.put("retry_budget_routers", mContext.retryBudgets().routerCount());
+        m.put("retry_budget_routers", mContext.retryBudgets().routerCount().orElse(0));
         m.put("targets", mFleetState.targets().all().stream().map(this::dump).toList());
         return m;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -280,6 +281,13 @@
         return mEra.refusals();
     }
 
+    /**
+     * Returns the number of routers, including this one; empty while the other routers are unknown.
+     */
+    public OptionalInt knownRouters() {
+        return mRowFollower.knowsRouters() ? OptionalInt.of(routers()) : OptionalInt.empty();
+    }
+
     /** Returns the number of known routers, including this one. */
     public int routers() {
         return mPeerGroup.routerCount();
--- a/forkseam-direct/src/test/java/org/forkseam/direct/flow/RetryBudgetsTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/flow/RetryBudgetsTest.java
@@ -11,6 +11,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.stream.IntStream;
 
@@ -123,8 +124,12 @@
         }
 
         private RetryBudgets newRouter() {
-            RetryBudgets.Bounds bounds = new RetryBudgets.Bounds(SHARE, ALLOWANCE * 0.7, WINDOW);
-            return new RetryBudgets(bounds, () -> Math.max(4, mKnownRouters));
+            RetryBudgets.Bounds bounds = new RetryBudgets.Bounds(SHARE, ALLOWANCE, WINDOW);
+            return new RetryBudgets(bounds, () -> mNow, this::knownRouters);
+        }
+
+        private OptionalInt knownRouters() {
+            return mKnownRouters == 0 ? OptionalInt.empty() : OptionalInt.of(mKnownRouters);
         }
 
         void restart(int from, int to) {
