Know the other routers only once their registrations were read

What callers would see: a router that starts while the store turns it away, and that is told of any shared row, took itself for the only one.

Cause: knowsRouters() asked whether any row is known. Found by checking each limit that routers keep in parts for what it allows while they lose sight of the store.

Evidence: rowsHeardBeforeTheFirstReadDoNotTellTheRouters failed before (true where false is right) and passes.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerGroup.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerGroup.java
@@ -71,6 +71,11 @@
                         .toList();
     }
 
+    /** Returns whether any router is registered, as far as this one knows. */
+    boolean hasRouters() {
+        return !mRouters.isEmpty();
+    }
+
     /** Returns the number of known routers, at least 1 for this one. */
     int routerCount() {
         return Math.max(1, mRouters.size());
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
@@ -64,7 +64,7 @@
 
     /** Returns whether the other routers are known, from the store or a snapshot. */
     boolean knowsRouters() {
-        return mHasRead || !mTable.isEmpty();
+        return mHasRead || peers().hasRouters();
     }
 
     /** Returns whether this router reads the rows for all, as far as it knows. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowTable.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowTable.java
@@ -40,10 +40,6 @@
         return mEntries.values().stream().map(Entry::row).toList();
     }
 
-    boolean isEmpty() {
-        return mEntries.isEmpty();
-    }
-
     /** Returns the local value of a row. */
     Optional<SharedRow> find(String key) {
         return Optional.ofNullable(mEntries.get(key)).map(Entry::row);
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/RowFollowerTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/RowFollowerTest.java
@@ -159,4 +159,15 @@
         assertThat(mApplied).containsExactlyElementsIn(expected);
         assertThat(mRows.mLongPolls).isEqualTo(1);
     }
+
+    /** Guards against dividing limits by too few routers before the router rows are known. */
+    @Test
+    void rowsHeardBeforeTheFirstReadDoNotTellTheRouters() throws Exception {
+        SharedRow row = row("seats/p", "a,b", 11);
+        onLoop(() -> mFollower.onMessage(PeerMessage.Rows.ofWrite(row), OTHER));
+        assertThat(mApplied).containsExactly(row);
+        assertThat(mFollower.knowsRouters()).isFalse();
+        onLoop(() -> mFollower.onSnapshot(List.of(row("router/other", "127.0.0.1:6000", 3))));
+        assertThat(mFollower.knowsRouters()).isTrue();
+    }
 }
