Repeat the registration of a router until the store has taken it

What callers would see: a new router whose registration the store refused twice, at its first read and five seconds later, was never registered. The others do not count it when they divide the limits of the fleet (cold targets, retries, connections) and tell it nothing, while it serves requests and uses its own part.

Cause: a failed write of the registration was logged and not repeated. Found by checking each limit that routers keep in parts for what it allows while they join without the store.

Change: a failed registration is repeated with the backoff of other calls to the store, one at a time. Evidence: failedRegistrationIsRepeated failed before (two writes in five seconds, none that succeeds) and passes.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowRestorer.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowRestorer.java
@@ -26,6 +26,8 @@
     private final RowTable mTable;
     private final RowFollower mRowFollower;
     private boolean mWriting;
+    private boolean mRegistering;
+    private int mFailedRegistrations;
 
     RowRestorer(Context context, SharedRows rows, RowTable table, RowFollower follower) {
         super(context);
@@ -49,17 +51,35 @@
         return RowFollower.ROUTER_PREFIX + peers().host();
     }
 
-    /** Registers this router unless the store still has a current registration. */
+    /**
+     * Registers this router unless the store still has a current registration. A failed write is
+     * repeated, since the others divide shared limits by the registered routers.
+     */
     void register() {
-        if (isStopped()) {
+        if (isStopped() || mRegistering) {
             return;
         }
         Optional<SharedRow> own = mTable.find(ownKey());
         boolean isThere = own.isPresent() && own.get().value().equals(peers().address());
         if (!isThere || mTable.isUnsynced(ownKey())) {
-            mRows.put(ownKey(), peers().address())
-                    .exceptionally(e -> RowFollower.logWriteFailure("register", e));
+            mRegistering = true;
+            mRows.put(ownKey(), peers().address()).whenComplete((done, e) -> onRegistered(e));
+        }
+    }
+
+    private void onRegistered(Throwable failure) {
+        if (failure == null) {
+            mRegistering = false;
+            mFailedRegistrations = 0;
+            return;
         }
+        RowFollower.logWriteFailure("register", failure);
+        schedule(backoffMillis(++mFailedRegistrations), this::repeatRegistration);
+    }
+
+    private void repeatRegistration() {
+        mRegistering = false;
+        register();
     }
 
     /**
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/RowFollowerTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/RowFollowerTest.java
@@ -38,6 +38,8 @@
         private final List<SharedRow> mAll = new CopyOnWriteArrayList<>();
         private volatile int mLongPolls;
         private volatile int mReads;
+        private volatile int mPuts;
+        private volatile int mFailingPuts;
 
         @Override
         public CompletableFuture<Versioned<List<SharedRow>>> readAll() {
@@ -64,6 +66,10 @@
 
         @Override
         public CompletableFuture<Void> put(String key, String value) {
+            if (++mPuts <= mFailingPuts) {
+                return CompletableFuture.failedFuture(SourceException.of("unavailable"));
+            }
+            mAll.add(row(key, value, 11));
             return CompletableFuture.completedFuture(null);
         }
 
@@ -170,4 +176,16 @@
         onLoop(() -> mFollower.onSnapshot(List.of(row("router/other", "127.0.0.1:6000", 3))));
         assertThat(mFollower.knowsRouters()).isTrue();
     }
+
+    /** Guards against a router that the others never count, since its registration failed. */
+    @Test
+    void failedRegistrationIsRepeated() throws Exception {
+        mRows.mFailingPuts = 2;
+        start();
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(AWAIT_MILLIS);
+        while (mRows.mPuts < 3 && System.nanoTime() < deadline) {
+            Thread.sleep(20);
+        }
+        assertThat(mRows.mPuts).isEqualTo(3);
+    }
 }
