Keep the limit of cold targets when routers restart within a second

What callers would see: a cold target fails under too many requests and loses all that it runs. Routers that are killed and start again within a second could send it their shares twice: 68 requests in a second where 39 are allowed (34 and a slack of 5).

Cause: the requests of the last second are counted in the process, and the count ends with it; the same class as retries beyond the fleet's limit. Change: a router sends nothing to cold targets in the first second after it opened its socket; its predecessor on the host ended before that. Evidence: restartedRoutersKeepTheLimit failed before (68 where 39 are allowed) and passes.

--- a/forkseam-core/src/main/java/org/forkseam/core/admit/ColdStartLimiter.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/admit/ColdStartLimiter.java
@@ -14,7 +14,8 @@
 /**
  * Rate limiter for cold targets, which fail under more than a few requests and then lose all
  * requests in flight. Within any window this router sends at most its share of the target's limit,
- * and nothing while the set of routers is unknown. Not thread-safe.
+ * and nothing while the set of routers is unknown or in the first window after its start. Not
+ * thread-safe.
  *
  * @since 0.5
  */
@@ -27,6 +28,7 @@
 
     private final RouterShares mRouterShares;
     private final Map<String, Deque<Long>> mSent = BoundedMap.byAccess(MAX_TARGETS);
+    private final long mStartedMillis;
     private double mOvershoot;
     private long mSkipped;
 
@@ -36,18 +38,22 @@
         Optional<ColdStartShare> shareFor(long targetHash);
     }
 
-    private ColdStartLimiter(RouterShares routerShares, double overshoot) {
+    private ColdStartLimiter(RouterShares routerShares, double overshoot, long startedMillis) {
         mRouterShares = routerShares;
         mOvershoot = overshoot;
+        mStartedMillis = startedMillis;
     }
 
     /**
      * Creates a limiter.
      *
      * @param overshoot factor by which the declared limit of a cold target may be exceeded
+     * @param startedMillis when this router started; its predecessor on the host may have sent its
+     *     share just before
      */
-    public static ColdStartLimiter of(RouterShares routerShares, double overshoot) {
-        return new ColdStartLimiter(routerShares, overshoot);
+    public static ColdStartLimiter of(
+            RouterShares routerShares, double overshoot, long startedMillis) {
+        return new ColdStartLimiter(routerShares, overshoot, startedMillis);
     }
 
     /** Sets the factor by which the declared limit of a cold target may be exceeded. */
@@ -72,6 +78,9 @@
     }
 
     private boolean hasCapacity(Target t, ColdStart coldStart, long nowMillis) {
+        if (nowMillis - mStartedMillis < WINDOW_MILLIS) {
+            return false;
+        }
         int limit = (int) (coldStart.perSecond() * mOvershoot);
         int share = mRouterShares.shareFor(t.hash()).map(s -> s.requestsPerSecond(limit)).orElse(0);
         return sentInWindow(t, nowMillis).size() < share;
--- a/forkseam-core/src/test/java/org/forkseam/core/admit/ColdStartLimiterTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/admit/ColdStartLimiterTest.java
@@ -33,6 +33,9 @@
     /** COLD.perSecond times OVERSHOOT, rounded down. */
     private static final int LIMIT = 34;
 
+    /** Start of routers that have no predecessor within a window. */
+    private static final long LONG_AGO = -10_000;
+
     /** Requests per second allowed above the limit over all routers. */
     private static final int SLACK = 5;
 
@@ -106,9 +109,7 @@
         List<ColdStartLimiter> gates = new ArrayList<>();
         List<Target> targets = new ArrayList<>();
         for (String name : all) {
-            gates.add(
-                    ColdStartLimiter.of(
-                            h -> Optional.of(ColdStartShare.of(name, all, h)), OVERSHOOT));
+            gates.add(limiter(name, all, LONG_AGO));
             targets.add(cold("t"));
         }
         Deque<Long> arrivals = new ArrayDeque<>();
@@ -130,16 +131,45 @@
         return max;
     }
 
+    /** Guards against routers that restart within a second and send their shares twice. */
+    @Test
+    void restartedRoutersKeepTheLimit() {
+        int before = sendAll(LONG_AGO, 1_300);
+        int after = sendAll(1_600, 2_200);
+        assertThat(before + after).isAtMost(LIMIT + SLACK);
+        assertThat(sendAll(1_600, 2_600)).isEqualTo(LIMIT);
+    }
+
+    /** Sends as many requests to a cold target as 23 routers admit that started at a time. */
+    private static int sendAll(long startedAt, long now) {
+        List<String> all = names(23);
+        Target t = cold("t");
+        int sent = 0;
+        for (String name : all) {
+            ColdStartLimiter gate = limiter(name, all, startedAt);
+            while (!gate.admissible(List.of(t), COLD, now).isEmpty()) {
+                gate.onRequestSent(t, COLD, now);
+                sent++;
+            }
+        }
+        return sent;
+    }
+
+    private static ColdStartLimiter limiter(String name, List<String> all, long startedAt) {
+        return ColdStartLimiter.of(
+                h -> Optional.of(ColdStartShare.of(name, all, h)), OVERSHOOT, startedAt);
+    }
+
     @Test
     void unknownRouterSetSkipsColdTargets() {
-        ColdStartLimiter gate = ColdStartLimiter.of(h -> Optional.empty(), OVERSHOOT);
+        ColdStartLimiter gate = ColdStartLimiter.of(h -> Optional.empty(), OVERSHOOT, LONG_AGO);
         assertThat(gate.admissible(List.of(cold("t")), COLD, 10)).isEmpty();
         assertThat(gate.skipped()).isEqualTo(1);
     }
 
     @Test
     void warmTargetsAndUnlimitedPoolsAreAdmissible() {
-        ColdStartLimiter gate = ColdStartLimiter.of(h -> Optional.empty(), OVERSHOOT);
+        ColdStartLimiter gate = ColdStartLimiter.of(h -> Optional.empty(), OVERSHOOT, LONG_AGO);
         List<Target> cold = List.of(cold("t"));
         assertThat(gate.admissible(cold, ColdStart.NONE, 10)).isEqualTo(cold);
         assertThat(gate.admissible(cold, COLD, 3_000)).isEqualTo(cold);
@@ -148,7 +178,7 @@
     /** The target's own cold report may not have arrived yet. */
     @Test
     void targetIsColdAfterAnEvacuation() {
-        ColdStartLimiter gate = ColdStartLimiter.of(h -> Optional.empty(), OVERSHOOT);
+        ColdStartLimiter gate = ColdStartLimiter.of(h -> Optional.empty(), OVERSHOOT, LONG_AGO);
         Target t = Target.of(new TargetEntry("t", "p", "10.0.0.1:1", "a", 64, false, 0), 0);
         t.setEvacuated(true, 1_000);
         t.setEvacuated(false, 9_000);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -91,7 +91,9 @@
                                         LeastLoadedPicker.of(p.random()),
                                         RegionFilter.of(settings.regions())),
                                 ColdStartLimiter.of(
-                                        p.fleetState()::shareFor, mBounds.coldOvershoot()),
+                                        p.fleetState()::shareFor,
+                                        mBounds.coldOvershoot(),
+                                        p.listener().openedMillis(clock)),
                                 new RetryBudgets(
                                         retryBounds(mBounds), clock, p.fleetState()::knownRouters),
                                 new ResponseFactory(p.headerCodec(), p.random()),
