--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/EventLoopLag.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/EventLoopLag.java
@@ -23,11 +23,16 @@
         mLagMillis = 2 * OVERLOADED_MILLIS;
     }
 
-    /** Records a tick, which was due one period after the last. */
-    void onTick(long nowMillis) {
+    /**
+     * Records a tick, which was due one period after the last.
+     *
+     * @return how late it was, in milliseconds
+     */
+    long onTick(long nowMillis) {
         long lag = Math.abs(nowMillis - mLastTick - mPeriodMillis);
         mLastTick = nowMillis;
         mLagMillis += SMOOTHING_FACTOR * (lag - mLagMillis);
+        return lag;
     }
 
     /** Returns whether the event loop is overloaded. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -46,6 +46,9 @@
     /** Interval of the cleanup of stale connections. */
     private static final long CLEANUP_MILLIS = 500;
 
+    /** Delay of a tick above which it is logged: timeouts of requests may have passed meanwhile. */
+    private static final long LOGGED_STALL_MILLIS = 300;
+
     /** Time for the balancer to detect that this router is not ready any more. */
     private static final long BALANCER_DETECTION_MILLIS = 2_600;
 
@@ -257,7 +260,13 @@
 
     private void tick() {
         long now = mContext.now();
-        mContext.loopLag().onTick(now);
+        long late = mContext.loopLag().onTick(now);
+        if (late > LOGGED_STALL_MILLIS) {
+            Event.always("loop_stalled")
+                    .with("late_ms", late)
+                    .with("in_flight", mContext.activeRequests().size())
+                    .log();
+        }
         mContext.requestQueue().onTick();
         List.copyOf(mContext.activeRequests()).forEach(f -> f.onTick(now));
         if (now - mLastCleanupMillis >= CLEANUP_MILLIS) {
