Put back reasons and figures that the rewording of comments dropped

Only facts that the old comment held, in today's names; the code is the same. Not put back: how values were measured or chosen, and texts whose reason still stands in other words.

--- a/forkseam-core/src/main/java/org/forkseam/core/crash/PoisonRequestDetector.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/crash/PoisonRequestDetector.java
@@ -23,10 +23,16 @@
     /** Number of crashes from which a request is refused. Lower values would refuse bystanders. */
     public static final int CRASH_THRESHOLD = 3;
 
-    /** Maximum number of suspects tracked, about 250 bytes each. */
+    /**
+     * Maximum number of suspects tracked, about 250 bytes each: the requests of 64 targets that
+     * crashed at full load.
+     */
     private static final int MAX_CONTENTS = 4_096;
 
-    /** Maximum number of answered requests tracked, about 100 bytes each. */
+    /**
+     * Maximum number of answered requests tracked, about 100 bytes each: those of a busy router in
+     * one minute.
+     */
     private static final int MAX_ANSWERED = 2_048;
 
     /**
--- a/forkseam-core/src/main/java/org/forkseam/core/member/ErrorRate.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/ErrorRate.java
@@ -12,7 +12,9 @@
 
     /**
      * Ratio to the pool's error rate from which a target is an outlier. If all targets of a pool
-     * fail alike, ejecting some only moves prompts away from their cached prefixes.
+     * fail alike, ejecting some only moves prompts away from their cached prefixes: on a day on
+     * which all engines failed part of their requests for four seconds, 1.1 million tokens were
+     * prefilled again.
      */
     private static final double OUTLIER_RATIO = 2;
 
--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetEntry.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetEntry.java
@@ -52,7 +52,8 @@
      * Returns a hash of all fields. Of the cold period only whether there is one is included, since
      * it decreases with each heartbeat.
      *
-     * <p>Does not use {@code toString()}, whose first call on a record is expensive.
+     * <p>Does not use {@code toString()}, whose first call on a record takes about 20 ms of
+     * processor time at each start.
      */
     public long fingerprint() {
         return Hashes.of(
--- a/forkseam-core/src/main/java/org/forkseam/core/route/BoundedLoadPicker.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/BoundedLoadPicker.java
@@ -31,13 +31,15 @@
 
     /**
      * Fraction of a target's slots below which it starts a request at once. Less than 1, since load
-     * readings are delayed.
+     * readings are about half a second old.
      */
     private static final double FREE_SLOTS_FRACTION = 0.75;
 
     /**
      * Bound on the load of a target that may have no free slot, as a multiple of the mean. Queueing
-     * there costs more than copying the prompt to another target.
+     * there waits for whole responses of other requests, while copying the prompt costs another
+     * target about ten milliseconds. Tighter bounds copied twice as much without more requests in
+     * time.
      */
     private static final double SATURATED_MULTIPLE = 1.2;
 
@@ -46,7 +48,9 @@
 
     /**
      * Ratio of the bound to the candidates' mean load below which keys cannot stay at their homes
-     * and requests are spread evenly.
+     * and requests are spread evenly. In a model with half of 29 engines evacuated, 28 to 38% of
+     * the requests met an engine over the bound at their homes, and 0.5 to 1.2% with an even
+     * spread, which prefilled twice as many prompts again.
      */
     private static final double MIN_BOUND_HEADROOM = 1.25;
 
--- a/forkseam-core/src/main/java/org/forkseam/core/route/SpillRate.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/SpillRate.java
@@ -8,13 +8,17 @@
  * @since 0.5
  */
 public final class SpillRate {
-    /** Time constant of the decay. */
+    /** Time constant of the decay: at 20 requests a second, about 40 requests count. */
     private static final double DECAY_MILLIS = 2_000;
 
     /** Decayed request count below which the rate is not meaningful. */
     private static final double MIN_REQUESTS = 20;
 
-    /** Spill rate above which a pool is imbalanced; a balanced one stays below 0.1. */
+    /**
+     * Spill rate above which a pool is imbalanced. A balanced pool spills 0.01 to 0.06, a small one
+     * up to 0.1 for seconds; with 9 of 38 targets not in the shard table it was 0.20 to 0.34. At
+     * 0.12 a small pool moved its keys by chance.
+     */
     private static final double IMBALANCE_THRESHOLD = 0.18;
 
     private double mPicks;
--- a/forkseam-core/src/main/java/org/forkseam/core/share/LoadGossip.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/share/LoadGossip.java
@@ -22,13 +22,13 @@
  * @since 0.4
  */
 public final class LoadGossip {
-    /** Interval between two messages of a router. */
+    /** Interval between two messages of a router. With 42 readings each they are 3 KB a second. */
     public static final long PERIOD_MILLIS = 125;
 
     /** Limit of readings in a message, of 8 bytes each. */
     public static final int MAX_READINGS = 60;
 
-    /** Age above which a reading is outdated and not sent. */
+    /** Age above which a reading is outdated and not sent, since streams have ended since. */
     private static final long MAX_AGE_MILLIS = 1_000;
 
     private LoadGossip() {}
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CrashDetector.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CrashDetector.java
@@ -26,7 +26,7 @@
 final class CrashDetector {
     /**
      * A connection lost later than this after the response head does not count as a crash caused by
-     * the request.
+     * the request. Targets that a request crashed ended 46 to 95 ms after it had begun.
      */
     private static final long MAX_CRASH_DELAY_MILLIS = 1_000;
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/ChunkEncoder.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/ChunkEncoder.java
@@ -7,8 +7,8 @@
 /**
  * Encodes parts of a body as chunks (RFC 9112, 7.1), each in a single buffer. Stateless.
  *
- * <p>Netty's HTTP codec writes three messages per chunk, which is costly for event streams while
- * the code is still interpreted after a start.
+ * <p>Netty's HTTP codec writes three messages per chunk, which took 14 to 18% of the event loop's
+ * processor time for event streams while the code was still interpreted after a start.
  *
  * @since 0.3
  */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/QuarantineRows.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/QuarantineRows.java
@@ -23,7 +23,10 @@
 final class QuarantineRows {
     private static final RowKeyPrefix ROW_KEY = new RowKeyPrefix("quarantine/");
 
-    /** Bounds the rows in the store if many different requests crash targets. */
+    /**
+     * Bounds the rows in the store, of about 120 bytes each, if many different requests crash
+     * targets.
+     */
     private static final int MAX_ROWS = 256;
 
     /** Cached rows; several routers may exceed the bound in the store by concurrent writes. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
@@ -17,8 +17,9 @@
 
 /**
  * Follows the rows that routers share. One router long-polls the store and broadcasts changed rows;
- * if each router polled, every change would cause a response to every router. Confined to the event
- * loop.
+ * if each router polled, every change would cause a response to every router. Together with
+ * broadcast list changes, 33 routers made 501 calls instead of 1,643 on a day of 53 seconds with
+ * few changes. Confined to the event loop.
  */
 final class RowFollower extends FollowerBase {
     /** Key prefix of the registration rows of routers, followed by the host name. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/ShardTables.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/ShardTables.java
@@ -38,7 +38,7 @@
 
     /**
      * Delay of proposals by other routers than the one that reads the rows, so that usually only
-     * one proposes.
+     * one proposes. Each proposal is a call to the store, and only one of them takes effect.
      */
     private static final long FALLBACK_PLAN_DELAY_MILLIS = 1_200;
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/SuspectRows.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/SuspectRows.java
@@ -23,7 +23,10 @@
 final class SuspectRows {
     private static final RowKeyPrefix ROW_KEY = new RowKeyPrefix("suspect/");
 
-    /** Bounds the rows in the store; beyond it, only messages between routers carry suspects. */
+    /**
+     * Bounds the rows in the store, of about 80 bytes each; beyond it, only messages between
+     * routers carry suspects.
+     */
     private static final int MAX_ROWS = 256;
 
     /** Rows are removed after this time. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
@@ -20,12 +20,13 @@
  * a change, or receives nothing, reads the list itself. Confined to the event loop.
  */
 final class TargetFollower extends FollowerBase {
-    /** Entries in one message, at some 90 bytes each. */
+    /** Entries in one message, at some 90 bytes each, so that it fits into a datagram. */
     private static final int MAX_ENTRIES_PER_MESSAGE = 12;
 
     /**
      * Limits the datagrams that one change takes over all routers. Beyond it the uplink of the
-     * reader drops some of them, and the receivers read the list anyway.
+     * reader drops some of them, and the receivers read the list anyway. The limit is 0.5 MB, which
+     * takes 0.4 s of a link of 10 Mbit/s.
      */
     private static final int MAX_MESSAGES = 400;
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/log/BoundedAsyncAppender.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/log/BoundedAsyncAppender.java
@@ -12,7 +12,8 @@
  * Asynchronous appender with a bounded queue that drops and counts events when the queue is full.
  * Thread-safe.
  *
- * <p>Used instead of Logback's {@code AsyncAppender} to save CPU time at startup.
+ * <p>Used instead of Logback's {@code AsyncAppender} since its string concatenation costs about 25
+ * ms of processor time at each start.
  *
  * @since 0.2
  */
