--- a/forkseam-core/src/test/java/org/forkseam/core/admit/QuotaAllocatorTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/admit/QuotaAllocatorTest.java
@@ -55,4 +55,13 @@
         assertThat(a).isWithin(1).of(50);
         assertThat(b).isWithin(1).of(50);
     }
+
+    /** Guards against a coordinator that starts and grants anew what earlier grants still hold. */
+    @Test
+    void restartedCoordinatorKeepsTheQuota() {
+        double held = new QuotaAllocator().report("a", 500, 100, 4, 0);
+        double granted = new QuotaAllocator().report("b", 500, 100, 4, 100);
+        double unreported = 2 * 100.0 / 4 * QuotaAllocator.UNREPORTED_SHARE;
+        assertThat(held + granted + unreported).isAtMost(100.0);
+    }
 }
