Carry the software version of targets and log it with each attempt

The lines of a request name no software version and no attempt that began a stream that is taken up again, so a stream that goes on at another version cannot be told from one that does not. No decision reads it yet. Datagrams have format 5: routers of formats 4 and 5 ignore each other's messages and read for themselves.

Tests of rows, formats, messages and the shared reading of the list pass; two expectations now include the version.

--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetEntry.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetEntry.java
@@ -14,6 +14,7 @@
  * @param leaving whether it accepts no new requests
  * @param coldMillis remaining cold period as last reported; 0 if it is not cold
  * @param born its start time by its own clock, in milliseconds since the epoch; 0 if unknown
+ * @param version version of its software; empty if unknown
  * @since 0.2
  */
 public record TargetEntry(
@@ -24,9 +25,23 @@
         int slots,
         boolean leaving,
         long coldMillis,
-        long born) {
+        long born,
+        String version) {
 
-    /** Creates an entry without a start time. */
+    /** Creates an entry without a software version. */
+    public TargetEntry(
+            String id,
+            String pool,
+            String address,
+            String domain,
+            int slots,
+            boolean leaving,
+            long coldMillis,
+            long born) {
+        this(id, pool, address, domain, slots, leaving, coldMillis, born, "");
+    }
+
+    /** Creates an entry without a start time and software version. */
     public TargetEntry(
             String id,
             String pool,
@@ -40,7 +55,7 @@
 
     /** Returns a copy marked as leaving. */
     public TargetEntry withLeaving() {
-        return new TargetEntry(id, pool, address, domain, slots, true, coldMillis, born);
+        return new TargetEntry(id, pool, address, domain, slots, true, coldMillis, born, version);
     }
 
     /** Returns the incarnation that this entry describes. */
@@ -71,6 +86,8 @@
                         + '|'
                         + (coldMillis > 0)
                         + '|'
-                        + born);
+                        + born
+                        + '|'
+                        + version);
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
@@ -80,6 +80,7 @@
                 .with("content", mContentHash)
                 .with("target", a.target().entry().id())
                 .with("address", a.target().entry().address())
+                .with("version", a.target().entry().version())
                 .with("end", result.kind())
                 .with("may_have_run", result.kind().mayHaveRun())
                 .with("detail", result.detail())
@@ -120,6 +121,7 @@
                         .with("config", s.config())
                         .with("sent", s.sent())
                         .with("took_ms", durationMillis);
+        mRequest.head().resumes().ifPresent(id -> e.with("resumes", id));
         mSelection.ifPresent(c -> addSelection(e, c, s));
         e.log();
     }
@@ -128,6 +130,7 @@
         Target t = c.pick().target();
         e.with("pool", c.pool())
                 .with("target", t.entry().id())
+                .with("version", t.entry().version())
                 .with("key", c.key())
                 .with("shared_tokens", c.sharedTokens())
                 .with("copy_from", s.copySource().orElse(""))
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
@@ -27,7 +27,7 @@
     static final int MAX_BYTES = 1_400;
 
     /** First byte of a datagram: version of the format. */
-    static final int FORMAT = 4;
+    static final int FORMAT = 5;
 
     // Message kinds; lower numbers are the kinds of PeerNotice.
     private static final int TARGETS = 16;
@@ -127,6 +127,7 @@
             StringCodec.write(b, e.domain());
             b.writeInt(e.slots()).writeBoolean(e.leaving()).writeLong(e.coldMillis());
             b.writeLong(e.born());
+            StringCodec.write(b, e.version());
         }
         StringCodec.writeAll(b, delta.removed());
         return b;
@@ -148,7 +149,8 @@
                             b.readInt(),
                             b.readBoolean(),
                             b.readLong(),
-                            b.readLong()));
+                            b.readLong(),
+                            StringCodec.read(b)));
         }
         return new PeerMessage.Targets(
                 new TargetListDelta(
--- a/forkseam-direct/src/main/java/org/forkseam/direct/spi/RequestHead.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/spi/RequestHead.java
@@ -13,6 +13,7 @@
  * @param key the caller's key
  * @param prompt the prompt, for requests to model engines
  * @param lastEventId the last event received by a caller that resumes a stream
+ * @param resumes id of the request whose response began that stream
  * @param malformed name of a malformed field, if any
  * @since 0.2
  */
@@ -22,4 +23,5 @@
         Optional<String> key,
         Optional<Prompt> prompt,
         Optional<String> lastEventId,
+        Optional<String> resumes,
         Optional<String> malformed) {}
