Continue a broken stream only at targets of the version that began it

Callers received one response with events of two software versions: after a break, or a pause of 1.2 s, the retry went to any target of the pool. The row of a target names its version, but the entry kept no version and no decision could look at it.

Once an event was passed on, selection, hold-off and the reason of a refusal consider only targets of the software (pool and version) that the attempt was sent to. A retry is taken from the budget, and a stalled attempt ended, only if such a target is left: otherwise the stream is broken off at once, or stays with the stalled target, which may still go on. The key is taken when the request is sent, so that a row that changes meanwhile does not rename what already runs.

StreamOrderTest: brokenStreamDoesNotContinueAtAnotherVersion, brokenStreamContinuesAtItsVersion and brokenResumedStreamDoesNotContinueAtAnotherVersion failed before and pass; the three of a caller's next attempt stay red.

--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -26,6 +26,7 @@
     private final TargetHealth mHealth = new TargetHealth();
     private final ErrorRate mErrors = new ErrorRate();
     private TargetEntry mEntry;
+    private long mSoftwareKey;
     private int mInFlight;
     private int mOthersInFlight;
     private int mReportedLoad;
@@ -40,6 +41,7 @@
 
     private Target(TargetEntry entry) {
         mEntry = entry;
+        mSoftwareKey = entry.softwareKey();
         mAvailability = Availability.LISTED.withRowLeaving(entry.leaving());
         mHash = Hashes.of(entry.id());
         mIncarnation = entry.incarnation();
@@ -65,6 +67,11 @@
         return mEntry;
     }
 
+    /** Returns the hash of pool and software version, see {@link TargetEntry#softwareKey}. */
+    public long softwareKey() {
+        return mSoftwareKey;
+    }
+
     /** Returns the incarnation that this state belongs to. */
     public TargetIncarnation incarnation() {
         return mIncarnation;
@@ -76,6 +83,7 @@
         boolean longer = entry.coldMillis() > mEntry.coldMillis();
         boolean ended = wasCold && entry.coldMillis() == 0;
         mEntry = entry;
+        mSoftwareKey = entry.softwareKey();
         mAvailability = mAvailability.withRowLeaving(entry.leaving());
         if (longer || ended) {
             updateColdUntil(nowMillis);
--- a/forkseam-core/src/main/java/org/forkseam/core/member/TargetEntry.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/TargetEntry.java
@@ -63,6 +63,14 @@
         return new TargetIncarnation(id, born);
     }
 
+    /**
+     * Returns a hash of pool and software version. Only targets with equal keys can continue each
+     * other's streams or use each other's caches.
+     */
+    public long softwareKey() {
+        return Hashes.mix(Hashes.of(pool), Hashes.of(version));
+    }
+
     /**
      * Returns a hash of all fields. Of the cold period only whether there is one is included, since
      * it decreases with each heartbeat.
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -49,6 +49,7 @@
     private boolean mStreamStarted;
     private boolean mEnded;
     private long mSentAt;
+    private long mSoftwareKey;
     private long mLastReceivedAt;
     private long mHeadAt;
 
@@ -97,6 +98,11 @@
         return mTarget;
     }
 
+    /** Returns the software of the target when the request was sent. */
+    long softwareKey() {
+        return mSoftwareKey;
+    }
+
     boolean isSent() {
         return mSentAt != 0;
     }
@@ -181,6 +187,7 @@
             return;
         }
         mSentAt = now;
+        mSoftwareKey = mTarget.softwareKey();
         mConnection.send(mRequest.get(), this::matchesRequest, this);
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -251,7 +251,9 @@
     }
 
     private boolean mayRetry(AttemptResult result, long now) {
-        boolean cannotResume = mStreaming && mLastEventId == null;
+        boolean cannotResume =
+                mStreaming
+                        && (mLastEventId == null || !mTargetSelection.hasUntriedTarget(mAdmission));
         return !mAdmission.isExpired(now)
                 && mAttempts.allowsNextAttempt(result, route(), cannotResume, () -> takeRetry(now));
     }
@@ -282,6 +284,7 @@
 
     @Override
     public void onEvents(Attempt a, ByteBuf bytes) {
+        mTargetSelection.requireSoftware(a.softwareKey());
         mSink.writeBody(bytes);
         if (!mSink.isWritable()) {
             a.setAutoRead(false);
@@ -331,6 +334,9 @@
     }
 
     private void replaceStalledAttempt(long now) {
+        if (mStreaming && !mTargetSelection.hasUntriedTarget(mAdmission)) {
+            return; // the stalled target may still continue
+        }
         if (mContext.retryBudgets().pool(pool()).remaining(now) < 1) {
             return;
         }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetSelection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetSelection.java
@@ -28,6 +28,7 @@
     private final long mSharedTokens;
     private final Set<String> mTried = new HashSet<>();
     private Optional<String> mCopySource = Optional.empty();
+    private OptionalLong mRequiredSoftware = OptionalLong.empty();
 
     TargetSelection(RouterContext context, CallerRequest request) {
         mContext = context;
@@ -54,6 +55,22 @@
         return mCopySource;
     }
 
+    /**
+     * Restricts further selections to targets of the software that began the stream.
+     *
+     * @param softwareKey see {@link Target#softwareKey}
+     */
+    void requireSoftware(long softwareKey) {
+        mRequiredSoftware = OptionalLong.of(softwareKey);
+    }
+
+    /** Returns whether a target that the request was not yet sent to accepts it. */
+    boolean hasUntriedTarget(Admission admission) {
+        long now = mContext.now();
+        return allowedTargets(admission).stream()
+                .anyMatch(t -> t.acceptsRequests(now) && !mTried.contains(t.entry().id()));
+    }
+
     /** Selects a target that the request was not yet sent to. */
     Optional<Pick> selectNext(Admission admission) {
         long now = mContext.now();
@@ -72,10 +89,19 @@
         return pick;
     }
 
-    /** Returns the targets of the request's pool in the allowed regions. */
+    /**
+     * Returns the targets of the request's pool in the allowed regions, and of the required
+     * software.
+     */
     private List<Target> allowedTargets(Admission a) {
         List<Target> pool = mContext.fleetState().targets().pool(a.pool());
-        return mContext.selectors().homeRegions().allowed(pool, a.route(), a.team());
+        List<Target> allowed =
+                mContext.selectors().homeRegions().allowed(pool, a.route(), a.team());
+        if (mRequiredSoftware.isEmpty()) {
+            return allowed;
+        }
+        long required = mRequiredSoftware.getAsLong();
+        return allowed.stream().filter(t -> t.softwareKey() == required).toList();
     }
 
     private static int countPaused(List<Target> targets, long now) {
@@ -104,6 +130,9 @@
     String unavailableReason(Admission admission, boolean holdsOff) {
         long now = mContext.now();
         List<Target> all = allowedTargets(admission);
+        if (all.isEmpty() && mRequiredSoftware.isPresent()) {
+            return "version_gone";
+        }
         long coldMillis = coldStart(admission).millis();
         if (all.stream().anyMatch(t -> t.acceptsRequests(now) && t.isCold(coldMillis, now))) {
             return "cold";
