Resume a stream only at the version that began it, whichever router a caller reaches

Callers that took up a stream (Last-Event-Id) received events of another software version than the one that began it. Last-Event-Id was passed on to any target of the pool; Resumes, which names the attempt that began the stream, was not read, and no router knew what another one began.

- The software (pool and version) that began a stream is kept by its router, and reported to two others, chosen by rendezvous hashing of the first attempt's id.
A router that does not know a stream asks three: the sender is one of the first three at most once.
Messages per stream do not depend on the number of routers.
- Nothing is sent while a pool has had one version for as long as streams last (30 s): every router infers it.
That holds on a router with an outdated list too, since a list older than 1.5 read intervals + 0.5 s does not count, and a version that is new to a pool gets no resumable streams for 0.5 s longer than that.
The property in VersionHistoryTest checks it for lists read at any times, with cuts.
- A stream that is not known, or whose version has gone, is refused with 503 at once, which is true: it was not run.
Its caller can request it anew without waiting.

Ruled out: naming the version in what callers send back (ids, bodies and heads are the target's); deriving the version from the id alone (the versions' shares change during a stream); a row a stream in the store (340 routers would exceed its writes); asking all routers (they cannot answer for one that has ended, and many that end at once would cost routers squared).

--- a/forkseam-core/src/main/java/org/forkseam/core/route/Rendezvous.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/Rendezvous.java
@@ -2,6 +2,11 @@
 
 import org.forkseam.core.util.Hashes;
 
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToLongFunction;
+
 /**
  * Computes scores for weighted rendezvous (highest random weight) hashing.
  *
@@ -14,6 +19,22 @@
 
     private Rendezvous() {}
 
+    /**
+     * Returns the members with the highest scores for a key, highest first.
+     *
+     * @param hash returns a member's hash
+     * @param count maximum number of members returned
+     */
+    public static <T> List<T> highest(
+            long key, Collection<T> members, ToLongFunction<T> hash, int count) {
+        return members.stream()
+                .map(m -> Map.entry(m, score(key, hash.applyAsLong(m), 1)))
+                .sorted(Map.Entry.<T, Double>comparingByValue().reversed())
+                .limit(count)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
     /** Returns a target's score for a key; the target with the highest score is the key's home. */
     public static double score(long key, long targetHash, double weight) {
         long h = Hashes.mix(key, targetHash);
--- /dev/null
+++ b/forkseam-core/src/test/java/org/forkseam/core/member/VersionHistoryTest.java
@@ -0,0 +1,164 @@
+package org.forkseam.core.member;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+
+import org.junit.jupiter.api.Test;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+
+/** Tests when a pool counts as having a single version, and when a new version gets streams. */
+class VersionHistoryTest {
+    private static final long INTERVAL_MILLIS = 1_000;
+    private static final long OUTDATED_MILLIS = 2_000;
+    private static final long LIFETIME_MILLIS = VersionHistory.STREAM_LIFETIME_MILLIS;
+
+    private final VersionHistory mHistory = VersionHistory.of(INTERVAL_MILLIS);
+
+    private static Target target(String pool, String version) {
+        return Target.of(new TargetEntry("i", pool, "10.0.0.1:1", "z", 8, false, 0, 0, version));
+    }
+
+    private static List<Target> targets(String... versions) {
+        List<Target> out = new ArrayList<>();
+        for (String v : versions) {
+            out.add(target("p", v));
+        }
+        return out;
+    }
+
+    private static long key(String version) {
+        return target("p", version).softwareKey();
+    }
+
+    /** Applies the same list once per interval. */
+    private void listFrom(long from, long until, String... versions) {
+        for (long t = from; t <= until; t += INTERVAL_MILLIS) {
+            mHistory.onTargets(targets(versions), t, t);
+        }
+    }
+
+    @Test
+    void soleVersionNeedsACompleteHistory() {
+        listFrom(0, LIFETIME_MILLIS - 1, "v1", "v1");
+        assertThat(mHistory.soleVersion("p", LIFETIME_MILLIS - 1)).isEqualTo(OptionalLong.empty());
+        listFrom(LIFETIME_MILLIS, LIFETIME_MILLIS, "v1", "v1");
+        assertThat(mHistory.soleVersion("p", LIFETIME_MILLIS))
+                .isEqualTo(OptionalLong.of(key("v1")));
+        assertThat(mHistory.soleVersion("other", LIFETIME_MILLIS)).isEqualTo(OptionalLong.empty());
+    }
+
+    @Test
+    void soleVersionNeedsACurrentList() {
+        listFrom(0, LIFETIME_MILLIS, "v1");
+        long last = LIFETIME_MILLIS;
+        assertThat(mHistory.soleVersion("p", last + OUTDATED_MILLIS).isPresent()).isTrue();
+        assertThat(mHistory.soleVersion("p", last + OUTDATED_MILLIS + 1).isPresent()).isFalse();
+    }
+
+    /** In a gap between lists, a version may have come and gone. */
+    @Test
+    void gapBetweenListsStartsTheHistoryAgain() {
+        listFrom(0, LIFETIME_MILLIS, "v1");
+        long after = LIFETIME_MILLIS + OUTDATED_MILLIS + 1;
+        listFrom(after, after + LIFETIME_MILLIS - INTERVAL_MILLIS, "v1");
+        long end = after + LIFETIME_MILLIS - INTERVAL_MILLIS;
+        assertThat(mHistory.soleVersion("p", end).isPresent()).isFalse();
+        listFrom(after + LIFETIME_MILLIS, after + LIFETIME_MILLIS, "v1");
+        assertThat(mHistory.soleVersion("p", after + LIFETIME_MILLIS).isPresent()).isTrue();
+    }
+
+    @Test
+    void versionCountsUntilItsStreamsHaveEnded() {
+        listFrom(0, LIFETIME_MILLIS, "v1", "v2");
+        long gone = LIFETIME_MILLIS + INTERVAL_MILLIS;
+        listFrom(gone, gone + LIFETIME_MILLIS - INTERVAL_MILLIS, "v2");
+        long end = gone + LIFETIME_MILLIS - INTERVAL_MILLIS;
+        assertThat(mHistory.soleVersion("p", end).isPresent()).isFalse();
+        listFrom(gone + LIFETIME_MILLIS, gone + LIFETIME_MILLIS, "v2");
+        assertThat(mHistory.soleVersion("p", gone + LIFETIME_MILLIS))
+                .isEqualTo(OptionalLong.of(key("v2")));
+    }
+
+    @Test
+    void newVersionOpensAfterTheDelay() {
+        listFrom(0, 5_000, "v1");
+        assertThat(mHistory.unopenedVersions("p", 5_000)).isEmpty();
+        listFrom(6_000, 6_000, "v1", "v2", "v2");
+        long opens = 6_000 + mHistory.openingDelayMillis();
+        assertThat(mHistory.unopenedVersions("p", opens - 1)).containsExactly(key("v2"));
+        assertThat(mHistory.unopenedVersions("p", opens)).isEmpty();
+    }
+
+    /** A router that has just started must not wait with all versions. */
+    @Test
+    void mostCommonVersionOfANewPoolOpensAtOnce() {
+        listFrom(0, 0, "v1", "v2", "v2");
+        assertThat(mHistory.unopenedVersions("p", 0)).containsExactly(key("v1"));
+        assertThat(mHistory.unopenedVersions("q", 0)).isEmpty();
+    }
+
+    /**
+     * Guards against a router that takes the only version it knows for the one that began a stream,
+     * while another router begins streams at a version of which the first has not read yet.
+     */
+    @Property(tries = 300)
+    void noRouterInfersAnotherVersionThanTheOneThatBegan(
+            @ForAll @LongRange(min = 1, max = 1_000_000) long seed,
+            @ForAll @IntRange(min = 2, max = 23) int routers) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<VersionHistory> histories = new ArrayList<>();
+        long[] nextRead = new long[routers];
+        for (int r = 0; r < routers; r++) {
+            histories.add(VersionHistory.of(INTERVAL_MILLIS));
+            nextRead[r] = random.nextLong(INTERVAL_MILLIS);
+        }
+        long joins = LIFETIME_MILLIS + 5_000 + random.nextLong(2_000);
+        long leaves = joins + random.nextLong(6_000);
+        long end = leaves + LIFETIME_MILLIS + 8_000;
+        long lastOld = leaves; // streams of v1 may have begun until every router has read the list
+        long firstNew = Long.MAX_VALUE;
+        for (long t = 0; t < end; t += 50) {
+            for (int r = 0; r < routers; r++) {
+                if (t >= nextRead[r]) {
+                    String[] listed =
+                            t < joins
+                                    ? new String[] {"v1"}
+                                    : t < leaves ? new String[] {"v1", "v2"} : new String[] {"v2"};
+                    histories.get(r).onTargets(targets(listed), t, t);
+                    boolean cutOff = random.nextInt(20) == 0;
+                    nextRead[r] = t + (cutOff ? random.nextLong(20_000) : INTERVAL_MILLIS);
+                }
+                VersionHistory h = histories.get(r);
+                boolean begins = t >= joins && !h.unopenedVersions("p", t).contains(key("v2"));
+                if (begins && knows(h, "v2", t)) {
+                    firstNew = Math.min(firstNew, t);
+                }
+            }
+            for (VersionHistory h : histories) {
+                OptionalLong sole = h.soleVersion("p", t);
+                if (sole.isPresent() && sole.getAsLong() == key("v1")) {
+                    assertWithMessage("v1 is inferred at %s", t).that(t).isAtMost(firstNew);
+                }
+                if (sole.isPresent() && sole.getAsLong() == key("v2")) {
+                    assertWithMessage("v2 is inferred at %s", t)
+                            .that(t)
+                            .isAtLeast(lastOld + LIFETIME_MILLIS - OUTDATED_MILLIS);
+                }
+            }
+        }
+    }
+
+    /** Returns whether the router's history has a version of the pool. */
+    private static boolean knows(VersionHistory h, String version, long now) {
+        return h.versions("p").contains(key(version));
+    }
+}
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/FailureResponder.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/FailureResponder.java
@@ -7,6 +7,8 @@
  * was certainly not run, otherwise a failure. Used on the event loop.
  */
 final class FailureResponder {
+    private static final long RESTART_DELAY_MILLIS = 50;
+
     private final RouterContext mContext;
     private final FinalResponse mResponse;
     private final AttemptTracker mAttempts;
@@ -42,6 +44,14 @@
         }
     }
 
+    /**
+     * Refuses to resume a stream. Waiting does not help; the caller can request the stream from its
+     * beginning at once.
+     */
+    void respondNotResumable(String reason) {
+        mResponse.refuse(reason, RESTART_DELAY_MILLIS);
+    }
+
     /**
      * Sends the final response of a quarantined request.
      *
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -11,6 +11,7 @@
 import org.forkseam.core.traffic.RouteKind;
 import org.forkseam.core.traffic.Team;
 import org.forkseam.core.traffic.TrafficConfig;
+import org.forkseam.direct.know.StreamOrigins;
 import org.forkseam.direct.spi.ForwardingInfo;
 
 import java.util.Locale;
@@ -47,6 +48,7 @@
     private boolean mStreaming;
     private boolean mDone;
     private String mLastEventId;
+    private Optional<ResumableStream> mResumable = Optional.empty();
 
     RequestFlow(RouterContext context, CallerRequest request, ResponseSink sink) {
         mContext = context;
@@ -104,6 +106,10 @@
         mAdmission = Admission.of(mConfig, admitted, mRequest);
         if (route().kind() == RouteKind.RESUMABLE) {
             mLastEventId = mRequest.head().lastEventId().orElse(null);
+            mResumable =
+                    Optional.of(
+                            ResumableStream.of(
+                                    mContext.fleetState().streamOrigins(), mAdmission, mRequest));
         }
     }
 
@@ -119,6 +125,24 @@
     public void dispatch() {
         mContext.retryBudgets().pool(pool()).onRequest(mContext.now());
         mContext.fleetState().shardTables().onRequest(pool());
+        if (mResumable.filter(ResumableStream::isResumed).isPresent()) {
+            mResumable.get().findOrigin(this::onOrigin);
+            return;
+        }
+        startAttempt();
+    }
+
+    /** Continues a resumed stream at the software that began it, or refuses the request. */
+    private void onOrigin(StreamOrigins.Result origin) {
+        if (mDone) {
+            return;
+        }
+        mLogger.onOrigin(origin.source());
+        if (origin.software().isEmpty()) {
+            mFailureResponder.respondNotResumable("stream_unknown");
+            return;
+        }
+        mTargetSelection.requireSoftware(origin.software().getAsLong());
         startAttempt();
     }
 
@@ -285,6 +309,7 @@
     @Override
     public void onEvents(Attempt a, ByteBuf bytes) {
         mTargetSelection.requireSoftware(a.softwareKey());
+        mResumable.ifPresent(s -> s.onEvents(a.softwareKey()));
         mSink.writeBody(bytes);
         if (!mSink.isWritable()) {
             a.setAutoRead(false);
@@ -320,6 +345,7 @@
             onDeadline();
             return;
         }
+        mResumable.ifPresent(ResumableStream::reportUnlessInferable);
         if (mAttempt != null && isStalled(mAttempt, now)) {
             replaceStalledAttempt(now);
         }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
@@ -4,8 +4,10 @@
 import org.forkseam.core.outcome.SlidingWindowRetryBudget;
 import org.forkseam.core.route.Pick;
 import org.forkseam.core.util.Hashes;
+import org.forkseam.direct.know.StreamOrigins;
 import org.forkseam.direct.log.Event;
 
+import java.util.Locale;
 import java.util.Optional;
 
 /**
@@ -63,6 +65,20 @@
                 t.entry().id());
     }
 
+    /** Logs how the origin of a resumed stream was found. */
+    void onOrigin(StreamOrigins.Source source) {
+        String name = source.name().toLowerCase(Locale.ROOT);
+        mContext.meters().onStreamResumed(name);
+        addNote("stream origin found by " + name, mRequest.head().resumes().orElse(""));
+        Event.of("stream_resumed")
+                .with("request", mRequest.id())
+                .with("resumes", mRequest.head().resumes().orElse(""))
+                .with("last_event", mRequest.head().lastEventId().orElse(""))
+                .with("origin", name)
+                .with("took_ms", now() - mRequest.receivedMillis())
+                .log();
+    }
+
     void onHeldForTarget(long millis) {
         addNote("waiting " + millis + " ms for a target to accept requests again", "");
         mContext.meters().onHeldForTarget();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestMeters.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestMeters.java
@@ -40,6 +40,7 @@
     private final Map<String, Counter> mOutcomes = new HashMap<>();
     private final Map<String, Counter> mAttempts = new HashMap<>();
     private final Map<String, Counter> mRetries = new HashMap<>();
+    private final Map<String, Counter> mStreamsResumed = new HashMap<>();
     private final LatencyHistogram mFirstByte = new LatencyHistogram();
     private final LatencyHistogram mTotal = new LatencyHistogram();
     private Optional<MeterRegistry> mRegistry = Optional.empty();
@@ -50,6 +51,8 @@
         mOutcomes.forEach((k, c) -> c.register("forkseam.requests", "outcome", k, registry));
         mAttempts.forEach((k, c) -> c.register("forkseam.attempts", "end", k, registry));
         mRetries.forEach((k, c) -> c.register("forkseam.retries", "budget", k, registry));
+        mStreamsResumed.forEach(
+                (k, c) -> c.register("forkseam.streams.resumed", "origin", k, registry));
         mFirstByte.bind(
                 registry, "forkseam.first_byte", "from a request to the first byte of its answer");
         mTotal.bind(registry, "forkseam.request", "from a request to the end of its answer");
@@ -82,6 +85,11 @@
         count(mRetries, "forkseam.retries", "budget", allowed ? "taken" : "denied");
     }
 
+    /** Counts a stream that a caller resumes, by how its origin was found. */
+    void onStreamResumed(String origin) {
+        count(mStreamsResumed, "forkseam.streams.resumed", "origin", origin);
+    }
+
     void onHeldForTarget() {
         count(mAttempts, "forkseam.attempts", "end", "HELD_FOR_TARGET");
     }
--- /dev/null
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/ResumableStream.java
@@ -0,0 +1,73 @@
+package org.forkseam.direct.flow;
+
+import org.forkseam.core.share.StreamOrigin;
+import org.forkseam.direct.know.StreamOrigins;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+
+/**
+ * Origin of the stream that a request on a resumable route receives. Used on the event loop.
+ *
+ * <p>The origin is reported to other routers as soon as they cannot infer it any more, which may be
+ * long after the stream has begun.
+ */
+final class ResumableStream {
+    private final StreamOrigins mOrigins;
+    private final String mPool;
+    private final Optional<String> mFirstRequestId;
+    private final boolean mResumed;
+    private OptionalLong mSoftware = OptionalLong.empty();
+    private boolean mReported;
+
+    private ResumableStream(
+            StreamOrigins origins, String pool, Optional<String> firstRequestId, boolean resumed) {
+        mOrigins = origins;
+        mPool = pool;
+        mFirstRequestId = firstRequestId;
+        mResumed = resumed;
+    }
+
+    /** Creates the stream of an admitted request. */
+    static ResumableStream of(StreamOrigins origins, Admission admission, CallerRequest request) {
+        boolean resumed = request.head().lastEventId().isPresent();
+        Optional<String> id = resumed ? request.head().resumes() : Optional.of(request.id());
+        return new ResumableStream(origins, admission.pool(), id, resumed);
+    }
+
+    /** Returns whether the caller resumes the stream. */
+    boolean isResumed() {
+        return mResumed;
+    }
+
+    /** Finds the software that began a resumed stream. */
+    void findOrigin(Consumer<StreamOrigins.Result> listener) {
+        // A caller that does not name the first request may still be served by a sole version.
+        mOrigins.find(StreamOrigins.streamOf(mFirstRequestId.orElse("")), mPool, listener);
+    }
+
+    /** Records that the first events were passed on. */
+    void onEvents(long softwareKey) {
+        if (mSoftware.isPresent() || mFirstRequestId.isEmpty()) {
+            return;
+        }
+        mSoftware = OptionalLong.of(softwareKey);
+        mOrigins.record(origin());
+        reportUnlessInferable();
+    }
+
+    /** Reports the stream if other routers cannot infer its origin. */
+    void reportUnlessInferable() {
+        if (mReported || mSoftware.isEmpty() || mOrigins.isInferable(mPool)) {
+            return;
+        }
+        mReported = true;
+        mOrigins.report(origin());
+    }
+
+    private StreamOrigin origin() {
+        return new StreamOrigin(
+                StreamOrigins.streamOf(mFirstRequestId.orElseThrow()), mSoftware.getAsLong());
+    }
+}
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetSelection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetSelection.java
@@ -8,6 +8,7 @@
 import org.forkseam.core.traffic.ColdStart;
 import org.forkseam.core.traffic.Pool;
 import org.forkseam.core.traffic.Prompt;
+import org.forkseam.core.traffic.RouteKind;
 import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.know.FleetState;
 
@@ -73,12 +74,40 @@
 
     /** Selects a target that the request was not yet sent to. */
     Optional<Pick> selectNext(Admission admission) {
+        List<Target> all = allowedTargets(admission);
+        List<Target> opened = withoutUnopenedVersions(all, admission);
+        Optional<Pick> pick = select(admission, opened, all.size());
+        return pick.isEmpty() && opened.size() < all.size()
+                ? select(admission, all, all.size())
+                : pick;
+    }
+
+    /**
+     * Removes targets of versions that are too new to the pool to begin streams, which callers may
+     * resume at routers that do not know these versions yet.
+     */
+    private List<Target> withoutUnopenedVersions(List<Target> targets, Admission a) {
+        if (a.route().kind() != RouteKind.RESUMABLE || mRequiredSoftware.isPresent()) {
+            return targets;
+        }
+        Set<Long> unopened =
+                mContext.fleetState().versions().unopenedVersions(a.pool(), mContext.now());
+        return unopened.isEmpty()
+                ? targets
+                : targets.stream().filter(t -> !unopened.contains(t.softwareKey())).toList();
+    }
+
+    /**
+     * Selects among some of the pool's targets.
+     *
+     * @param poolSize number of targets over which the load is averaged
+     */
+    private Optional<Pick> select(Admission admission, List<Target> targets, int poolSize) {
         long now = mContext.now();
         String pool = admission.pool();
         ColdStart cold = coldStart(admission);
-        List<Target> all = allowedTargets(admission);
-        List<Target> admitted = mContext.coldStartLimiter().admissible(all, cold, now);
-        int idle = all.size() - admitted.size() + countPaused(admitted, now);
+        List<Target> admitted = mContext.coldStartLimiter().admissible(targets, cold, now);
+        int idle = poolSize - admitted.size() + countPaused(admitted, now);
         CandidateFilter.Candidates c =
                 mContext.selectors().candidateFilter().apply(admitted, mTried, now);
         PickRequest request =
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
@@ -7,6 +7,7 @@
 import org.forkseam.core.member.Target;
 import org.forkseam.core.member.TargetDirectory;
 import org.forkseam.core.member.TargetEntry;
+import org.forkseam.core.member.VersionHistory;
 import org.forkseam.core.route.PromptHolderIndex;
 import org.forkseam.core.share.LoadGossip;
 import org.forkseam.core.store.StorePosition;
@@ -61,6 +62,7 @@
     private final Quarantine mQuarantine;
     private final TargetObservations mObservations;
     private final TargetSignals mSignals;
+    private final StreamOrigins mStreamOrigins;
     private long mEvacuationChanges;
     private long mLastMessageAt;
     private boolean mSnapshotRequested;
@@ -115,6 +117,12 @@
         mRowFollower = new RowFollower(context, shared, this::onRow);
         mShardTables = new ShardTables(context, shared, mRowFollower, mTargetFollower.targets());
         mQuarantine = new Quarantine(context, shared, mRowFollower);
+        mStreamOrigins =
+                new StreamOrigins(
+                        (millis, task) -> loop.schedule(task, millis, TimeUnit.MILLISECONDS),
+                        clock,
+                        mPeerGroup,
+                        mTargetFollower.versions());
         mSignals = new TargetSignals(mTargetFollower.targets(), clock);
         mObservations =
                 new TargetObservations(clock, mTargetFollower.targets(), mQuarantine, mSignals);
@@ -190,6 +198,7 @@
         m.put("seats", mShardTables.dump());
         m.put("quarantine", mQuarantine.dump());
         m.put("crash_suspects", mQuarantine.suspects());
+        m.put("stream_origins", mStreamOrigins.dump());
         m.put("messages_sent", mPeerGroup.messagesSent());
         m.put("store_calls", mCalls.get());
         m.put("source_down", mStoreHealth.isDown());
@@ -236,6 +245,16 @@
         return mQuarantine;
     }
 
+    /** Returns which software began streams. */
+    public StreamOrigins streamOrigins() {
+        return mStreamOrigins;
+    }
+
+    /** Returns the software versions of each pool. */
+    public VersionHistory versions() {
+        return mTargetFollower.versions();
+    }
+
     /** Returns the handler of signals that targets send in their responses. */
     public TargetSignals signals() {
         return mSignals;
@@ -320,6 +339,14 @@
             mObservations.apply(b);
             return;
         }
+        if (m instanceof PeerMessage.StreamOrigins s) {
+            mStreamOrigins.onOrigins(s);
+            return;
+        }
+        if (m instanceof PeerMessage.StreamQuery q) {
+            mStreamOrigins.onQuery(q, sender);
+            return;
+        }
         if (m instanceof PeerMessage.Operators o) {
             mConfigFollower.onMessage(o, sender);
             return;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerChannel.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerChannel.java
@@ -88,6 +88,14 @@
         return true;
     }
 
+    /** Sends a message to one address; dropped if it is too long for a datagram. */
+    void send(PeerMessage message, InetSocketAddress address) {
+        Optional<ByteBuf> bytes = PeerCodec.write(message);
+        if (bytes.isPresent() && mChannel != null) {
+            mChannel.writeAndFlush(new DatagramPacket(bytes.get(), address));
+        }
+    }
+
     private InetSocketAddress address(String text) {
         return mAddresses.computeIfAbsent(text, Addresses::parse);
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
@@ -7,6 +7,7 @@
 import org.forkseam.core.member.TargetEntry;
 import org.forkseam.core.share.LoadReading;
 import org.forkseam.core.share.PromptHolder;
+import org.forkseam.core.share.StreamOrigin;
 import org.forkseam.core.share.TargetListDelta;
 import org.forkseam.core.store.StorePosition;
 import org.forkseam.direct.log.Event;
@@ -35,6 +36,8 @@
     private static final int OBSERVATIONS = 18;
     private static final int OPERATORS = 19;
     private static final int CONFIG = 20;
+    private static final int STREAM_ORIGINS = 21;
+    private static final int STREAM_QUERY = 22;
 
     private PeerCodec() {}
 
@@ -51,6 +54,11 @@
             b = writeTargets(t.delta());
         } else if (m instanceof PeerMessage.Rows r) {
             b = writeRows(r);
+        } else if (m instanceof PeerMessage.StreamOrigins s) {
+            b = writeStreamOrigins(s);
+        } else if (m instanceof PeerMessage.StreamQuery q) {
+            b = newMessage(STREAM_QUERY).writeLong(q.stream());
+            StringCodec.write(b, q.pool());
         } else {
             b = writeObservations((PeerMessage.Observations) m);
         }
@@ -79,6 +87,11 @@
             case TARGETS -> Optional.of(readTargets(b.skipBytes(2)));
             case ROWS -> Optional.of(readRows(b.skipBytes(2)));
             case OBSERVATIONS -> Optional.of(readObservations(b.skipBytes(2)));
+            case STREAM_ORIGINS -> Optional.of(readStreamOrigins(b.skipBytes(2)));
+            case STREAM_QUERY -> {
+                b.skipBytes(2);
+                yield Optional.of(new PeerMessage.StreamQuery(b.readLong(), StringCodec.read(b)));
+            }
             default -> PeerNotice.read(b).map(n -> n);
         };
     }
@@ -191,6 +204,22 @@
         return new PeerMessage.Rows(readAt, since, until, complete, rows);
     }
 
+    // ---------------------------------------------------------------- streams
+
+    private static ByteBuf writeStreamOrigins(PeerMessage.StreamOrigins m) {
+        ByteBuf b = newMessage(STREAM_ORIGINS).writeShort(m.origins().size());
+        m.origins().forEach(o -> b.writeLong(o.stream()).writeLong(o.software()));
+        return b;
+    }
+
+    private static PeerMessage readStreamOrigins(ByteBuf b) {
+        List<StreamOrigin> origins = new ArrayList<>();
+        for (int i = b.readUnsignedShort(); i > 0; i--) {
+            origins.add(new StreamOrigin(b.readLong(), b.readLong()));
+        }
+        return new PeerMessage.StreamOrigins(origins);
+    }
+
     // ---------------------------------------------------------------- observations
 
     private static ByteBuf writeObservations(PeerMessage.Observations o) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerGroup.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerGroup.java
@@ -3,6 +3,8 @@
 import io.netty.channel.EventLoop;
 
 import org.forkseam.core.admit.ColdStartShare;
+import org.forkseam.core.route.Rendezvous;
+import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.io.Addresses;
 
 import java.net.InetSocketAddress;
@@ -15,14 +17,18 @@
 import java.util.random.RandomGenerator;
 
 /** Tracks the other routers and sends them messages. Confined to the event loop. */
-final class PeerGroup {
+final class PeerGroup implements StreamOrigins.Network {
     private final PeerChannel mChannel;
     private final FleetState.RouterIdentity mSelf;
     private final RandomGenerator mRandom;
     private final Map<String, String> mRouters = new LinkedHashMap<>();
     private List<String> mPeerAddresses = List.of();
+    private List<Peer> mPeers = List.of();
     private long mMessagesSent;
 
+    /** Another router and the hash of its host's name. */
+    private record Peer(long hostHash, String address) {}
+
     PeerGroup(
             EventLoop loop,
             FleetState.RouterIdentity self,
@@ -64,11 +70,12 @@
     }
 
     private void refreshPeerAddresses() {
-        mPeerAddresses =
+        mPeers =
                 mRouters.entrySet().stream()
                         .filter(e -> !e.getKey().equals(host()))
-                        .map(Map.Entry::getValue)
+                        .map(e -> new Peer(Hashes.of(e.getKey()), e.getValue()))
                         .toList();
+        mPeerAddresses = mPeers.stream().map(Peer::address).toList();
     }
 
     /** Returns whether any router is registered, as far as this one knows. */
@@ -124,6 +131,23 @@
         mChannel.send(m, List.of(mPeerAddresses.get(mRandom.nextInt(mPeerAddresses.size()))));
     }
 
+    @Override
+    public int sendToKeepers(long key, int count, PeerMessage m) {
+        List<String> keepers =
+                Rendezvous.highest(key, mPeers, Peer::hostHash, count).stream()
+                        .map(Peer::address)
+                        .toList();
+        mMessagesSent += keepers.size();
+        mChannel.send(m, keepers);
+        return keepers.size();
+    }
+
+    @Override
+    public void sendTo(InetSocketAddress address, PeerMessage m) {
+        mMessagesSent++;
+        mChannel.send(m, address);
+    }
+
     /** Returns the number of messages sent since the start. */
     long messagesSent() {
         return mMessagesSent;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
@@ -4,6 +4,7 @@
 import org.forkseam.core.member.Evacuations;
 import org.forkseam.core.share.LoadReading;
 import org.forkseam.core.share.PromptHolder;
+import org.forkseam.core.share.StreamOrigin;
 import org.forkseam.core.share.TargetListDelta;
 import org.forkseam.core.store.StorePosition;
 import org.forkseam.core.store.StoreTimestamp;
@@ -20,6 +21,8 @@
                 PeerMessage.Config,
                 PeerMessage.Targets,
                 PeerMessage.Rows,
+                PeerMessage.StreamOrigins,
+                PeerMessage.StreamQuery,
                 PeerMessage.Observations {
     /**
      * Returns the store position at which the content was read; empty if it was not read from the
@@ -127,6 +130,21 @@
         }
     }
 
+    /**
+     * Reports which software began streams, or answers a {@link StreamQuery}.
+     *
+     * @param origins the streams
+     */
+    record StreamOrigins(List<StreamOrigin> origins) implements PeerMessage {}
+
+    /**
+     * Asks which software began a stream.
+     *
+     * @param stream hash of the id of the request that began it
+     * @param pool the stream's pool
+     */
+    record StreamQuery(long stream, String pool) implements PeerMessage {}
+
     /**
      * Carries observations from targets' responses.
      *
--- /dev/null
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamOrigins.java
@@ -0,0 +1,225 @@
+package org.forkseam.direct.know;
+
+import org.forkseam.core.member.VersionHistory;
+import org.forkseam.core.share.StreamOrigin;
+import org.forkseam.core.share.StreamOriginTable;
+import org.forkseam.core.util.Clock;
+import org.forkseam.core.util.Hashes;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+
+/**
+ * Finds the software that began a stream which a caller resumes, possibly at another router.
+ *
+ * <p>While a pool has had a single version for long enough, every router infers it and nothing is
+ * sent. Otherwise the router that begins a stream reports it to a few others, selected by a hash of
+ * the stream, and a router that does not know a stream asks these. The cost of a stream therefore
+ * does not depend on the number of routers. Confined to the event loop.
+ *
+ * @since 0.7
+ */
+public final class StreamOrigins {
+    /** Routers to which a stream is reported. */
+    static final int KEEPERS = 2;
+
+    /**
+     * Routers that are asked: one more, since the router that began it may rank among the first.
+     */
+    static final int ASKED = KEEPERS + 1;
+
+    /** Maximum wait for replies; a running router replies within a few milliseconds. */
+    private static final long REPLY_TIMEOUT_MILLIS = 250;
+
+    private final Timer mTimer;
+    private final Clock mClock;
+    private final Network mNetwork;
+    private final VersionHistory mVersions;
+    private final StreamOriginTable mTable = StreamOriginTable.create();
+    private final Map<Long, Query> mQueries = new HashMap<>();
+    private long mReports;
+    private long mQuestions;
+
+    /** Sends messages to other routers. */
+    interface Network {
+        /**
+         * Sends a message to the routers that keep a key, selected among the others by rendezvous
+         * hashing; returns their number.
+         */
+        int sendToKeepers(long key, int count, PeerMessage m);
+
+        /** Sends a message to the router at an address. */
+        void sendTo(InetSocketAddress address, PeerMessage m);
+    }
+
+    /** Runs delayed tasks on the event loop. */
+    interface Timer {
+        /** Runs a task after a delay. */
+        void after(long millis, Runnable task);
+    }
+
+    /** How an origin was found. */
+    public enum Source {
+        /** This router began the stream or was told of it. */
+        KNOWN,
+        /** The pool has had a single version for longer than streams last. */
+        SOLE_VERSION,
+        /** Another router knew it. */
+        ROUTER,
+        /** No router that was asked knows it. */
+        NONE
+    }
+
+    /**
+     * Result of a search.
+     *
+     * @param software the software that began the stream, empty if unknown
+     * @param source how it was found
+     */
+    public record Result(OptionalLong software, Source source) {
+        static Result of(long software, Source source) {
+            return new Result(OptionalLong.of(software), source);
+        }
+
+        static Result none() {
+            return new Result(OptionalLong.empty(), Source.NONE);
+        }
+    }
+
+    /** A pending question to other routers. */
+    private static final class Query {
+        private final List<Consumer<Result>> mListeners = new ArrayList<>();
+        private int mRepliesLeft;
+
+        Query(int repliesLeft) {
+            mRepliesLeft = repliesLeft;
+        }
+    }
+
+    StreamOrigins(Timer timer, Clock clock, Network network, VersionHistory versions) {
+        mTimer = timer;
+        mClock = clock;
+        mNetwork = network;
+        mVersions = versions;
+    }
+
+    /** Returns the hash that identifies a stream. */
+    public static long streamOf(String requestId) {
+        return Hashes.of(requestId);
+    }
+
+    // ---------------------------------------------------------------- streams that begin
+
+    /** Remembers a stream that this router began or resumed. */
+    public void record(StreamOrigin origin) {
+        mTable.add(origin, mClock.nowMillis());
+    }
+
+    /** Returns whether other routers can infer the origin of the pool's streams. */
+    public boolean isInferable(String pool) {
+        return mVersions.soleVersion(pool, mClock.nowMillis()).isPresent();
+    }
+
+    /** Reports a stream to the routers that will be asked for it. */
+    public void report(StreamOrigin origin) {
+        mReports++;
+        mNetwork.sendToKeepers(
+                origin.stream(), KEEPERS, new PeerMessage.StreamOrigins(List.of(origin)));
+    }
+
+    // ---------------------------------------------------------------- streams that are resumed
+
+    /**
+     * Finds the software that began a stream.
+     *
+     * @param listener receives the result, before this method returns if it is known here
+     */
+    public void find(long stream, String pool, Consumer<Result> listener) {
+        Optional<Result> known = findHere(stream, pool);
+        if (known.isPresent()) {
+            listener.accept(known.get());
+            return;
+        }
+        Query pending = mQueries.get(stream);
+        if (pending != null) {
+            pending.mListeners.add(listener);
+            return;
+        }
+        mQuestions++;
+        int asked =
+                mNetwork.sendToKeepers(stream, ASKED, new PeerMessage.StreamQuery(stream, pool));
+        if (asked == 0) {
+            listener.accept(Result.none());
+            return;
+        }
+        Query q = new Query(asked);
+        q.mListeners.add(listener);
+        mQueries.put(stream, q);
+        mTimer.after(REPLY_TIMEOUT_MILLIS, () -> finish(stream, q, Result.none()));
+    }
+
+    private Optional<Result> findHere(long stream, String pool) {
+        long now = mClock.nowMillis();
+        Optional<StreamOrigin> known = mTable.find(stream, now);
+        if (known.isPresent()) {
+            return Optional.of(Result.of(known.get().software(), Source.KNOWN));
+        }
+        OptionalLong sole = mVersions.soleVersion(pool, now);
+        return sole.isPresent()
+                ? Optional.of(Result.of(sole.getAsLong(), Source.SOLE_VERSION))
+                : Optional.empty();
+    }
+
+    private void finish(long stream, Query q, Result result) {
+        if (mQueries.remove(stream, q)) {
+            q.mListeners.forEach(l -> l.accept(result));
+        }
+    }
+
+    // ---------------------------------------------------------------- other routers
+
+    void onQuery(PeerMessage.StreamQuery query, InetSocketAddress sender) {
+        long software =
+                findHere(query.stream(), query.pool())
+                        .map(r -> r.software().orElse(StreamOrigin.UNKNOWN))
+                        .orElse(StreamOrigin.UNKNOWN);
+        mNetwork.sendTo(
+                sender,
+                new PeerMessage.StreamOrigins(List.of(new StreamOrigin(query.stream(), software))));
+    }
+
+    void onOrigins(PeerMessage.StreamOrigins m) {
+        for (StreamOrigin o : m.origins()) {
+            if (o.isKnown()) {
+                record(o);
+            }
+            Query q = mQueries.get(o.stream());
+            if (q == null) {
+                continue;
+            }
+            q.mRepliesLeft--;
+            if (o.isKnown()) {
+                finish(o.stream(), q, Result.of(o.software(), Source.ROUTER));
+            } else if (q.mRepliesLeft == 0) {
+                finish(o.stream(), q, Result.none());
+            }
+        }
+    }
+
+    /** Returns counts for the state dump. */
+    Map<String, Long> dump() {
+        Map<String, Long> m = new LinkedHashMap<>();
+        m.put("remembered", (long) mTable.size());
+        m.put("reported", mReports);
+        m.put("asked", mQuestions);
+        m.put("pending", (long) mQueries.size());
+        return m;
+    }
+}
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
@@ -3,6 +3,7 @@
 import org.forkseam.core.member.TargetChange;
 import org.forkseam.core.member.TargetDirectory;
 import org.forkseam.core.member.TargetEntry;
+import org.forkseam.core.member.VersionHistory;
 import org.forkseam.core.share.TargetListDelta;
 import org.forkseam.core.store.StorePosition;
 import org.forkseam.core.store.StoreTimestamp;
@@ -41,6 +42,7 @@
 
     private final FleetSource mSource;
     private final TargetDirectory mTargets = TargetDirectory.create();
+    private final VersionHistory mVersions;
     private long mPauseMillis;
     private TargetListDelta.Snapshot mList = TargetListDelta.Snapshot.of(List.of());
     private final Consumer<String> mOnRestart;
@@ -49,6 +51,8 @@
     private int mFailures;
     private long mConfirmedAt;
     private long mStoreClockOffset;
+    private StoreTimestamp mOffsetReadAt = StoreTimestamp.NEVER;
+    private long mEarliestClockOffset;
     private boolean mHasList;
     private boolean mReading;
     private int mReads;
@@ -68,16 +72,23 @@
         mSource = source;
         mOnRestart = onRestart;
         mPauseMillis = pauseMillis;
+        mVersions = VersionHistory.of(pauseMillis);
     }
 
     void setPauseMillis(long millis) {
         mPauseMillis = millis;
+        mVersions.setReadInterval(millis);
     }
 
     TargetDirectory targets() {
         return mTargets;
     }
 
+    /** Returns the software versions of each pool. */
+    VersionHistory versions() {
+        return mVersions;
+    }
+
     /** Returns whether any list is known. */
     boolean hasList() {
         return mHasList;
@@ -138,6 +149,8 @@
         mFailures = 0;
         long now = now();
         mStoreClockOffset = now - read.readAt();
+        mOffsetReadAt = read.readTime();
+        mEarliestClockOffset = mLastAttemptAt - read.readAt();
         if (read.position().isBefore(mTargets.position())) {
             Event.of("list_passed_over")
                     .with("read", read.position())
@@ -151,6 +164,7 @@
                 TargetListDelta.between(mList.entries(), list, read.readAt(), read.position());
         boolean first = !mHasList;
         apply(list, read.position(), now);
+        mVersions.onTargets(mTargets.all(), mLastAttemptAt, now);
         mReadAt = read.readTime();
         mPartsLeft = 0;
         if (audience == Audience.ALL) {
@@ -304,6 +318,7 @@
         mReadAt = delta.readTime();
         mPartsLeft = delta.remainingSteps();
         apply(list, delta.position(), toLocalTime(mReadAt));
+        updateVersions(mReadAt);
     }
 
     /** Returns whether a read is older than the known list, or too old to end the grace period. */
@@ -318,6 +333,7 @@
     private void confirm(StoreTimestamp readAt) {
         mReadAt = readAt;
         mConfirmedAt = toLocalTime(readAt);
+        updateVersions(readAt);
         if (mTargets.retainsUnlisted() || mTargets.ignoresStaleRows()) {
             apply(mList, mTargets.position(), mConfirmedAt);
         }
@@ -331,6 +347,16 @@
         return Math.min(now(), readAt.millis() + mStoreClockOffset);
     }
 
+    /**
+     * Updates the versions after another router's read. A read is converted with the start of this
+     * router's own read of the same era, so that its time is not estimated too late.
+     */
+    private void updateVersions(StoreTimestamp readAt) {
+        boolean sameEra = readAt.era() == mOffsetReadAt.era();
+        long currentAt = sameEra ? readAt.millis() + mEarliestClockOffset : Long.MIN_VALUE / 2;
+        mVersions.onTargets(mTargets.all(), Math.min(now(), currentAt), now());
+    }
+
     /** Applies the list of another router's snapshot while the store is unavailable. */
     void onSnapshot(StorePosition position, List<TargetEntry> list) {
         if (list.isEmpty()) {
@@ -338,5 +364,6 @@
         }
         mHasList = true;
         mTargets.apply(position, list, now()).forEach(this::onChange);
+        mVersions.onTargets(mTargets.all(), Long.MIN_VALUE / 2, now());
     }
 }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
@@ -14,6 +14,7 @@
 import org.forkseam.core.share.LoadGossip;
 import org.forkseam.core.share.LoadReading;
 import org.forkseam.core.share.PromptHolder;
+import org.forkseam.core.share.StreamOrigin;
 import org.forkseam.core.share.TargetListDelta;
 import org.forkseam.core.store.StorePosition;
 import org.forkseam.core.store.StoreTimestamp;
@@ -40,7 +41,16 @@
  */
 class PeerCodecTest {
     private static final TargetEntry ENTRY =
-            new TargetEntry("i-7f3a91c2", "forecast-lm", "10.1.0.40:8001", "hall-a", 12, true, 0);
+            new TargetEntry(
+                    "i-7f3a91c2",
+                    "forecast-lm",
+                    "10.1.0.40:8001",
+                    "hall-a",
+                    12,
+                    true,
+                    0,
+                    7,
+                    "v1.2");
     private static final PeerMessage OPERATORS =
             new PeerMessage.Operators(1, StorePosition.of(1, 2), 3, -4, List.of("hall-a", "ö"));
     private static final PeerMessage TARGETS =
@@ -96,6 +106,13 @@
                             List.of("m"),
                             CallerLimits.defaults()));
 
+    private static final PeerMessage STREAM_ORIGINS =
+            new PeerMessage.StreamOrigins(
+                    List.of(
+                            new StreamOrigin(Long.MIN_VALUE, 7),
+                            new StreamOrigin(-3, StreamOrigin.UNKNOWN)));
+    private static final PeerMessage STREAM_QUERY = new PeerMessage.StreamQuery(-5, "forecast-lm");
+
     private static SharedRow gone() {
         return SharedRow.absent("router/h", 2);
     }
@@ -107,14 +124,31 @@
     @Test
     void messagesRoundTrip() {
         PeerMessage notice = new PeerNotice(PeerNotice.Kind.LIST, StoreTimestamp.of(1, 3), 4);
-        for (PeerMessage m : List.of(notice, OPERATORS, CONFIG, TARGETS, ROWS, OBSERVATIONS)) {
+        for (PeerMessage m :
+                List.of(
+                        notice,
+                        OPERATORS,
+                        CONFIG,
+                        TARGETS,
+                        ROWS,
+                        OBSERVATIONS,
+                        STREAM_ORIGINS,
+                        STREAM_QUERY)) {
             assertThat(PeerCodec.read(written(m))).isEqualTo(Optional.of(m));
         }
     }
 
     @Test
     void truncatedAndOverlongMessagesAreRejected() {
-        for (PeerMessage m : List.of(OPERATORS, CONFIG, TARGETS, ROWS, OBSERVATIONS)) {
+        for (PeerMessage m :
+                List.of(
+                        OPERATORS,
+                        CONFIG,
+                        TARGETS,
+                        ROWS,
+                        OBSERVATIONS,
+                        STREAM_ORIGINS,
+                        STREAM_QUERY)) {
             ByteBuf whole = written(m);
             for (int n = 0; n < whole.readableBytes(); n++) {
                 assertThat(PeerCodec.read(whole.copy(0, n)).isPresent()).isFalse();
@@ -126,7 +160,7 @@
 
     @Property(tries = 500)
     void arbitraryBytesDoNotThrow(
-            @ForAll byte[] bytes, @ForAll @IntRange(min = 15, max = 19) int kind) {
+            @ForAll byte[] bytes, @ForAll @IntRange(min = 15, max = 23) int kind) {
         ByteBuf b = Unpooled.buffer().writeByte(PeerCodec.FORMAT).writeByte(kind).writeBytes(bytes);
         PeerCodec.read(b);
         assertThat(b.refCnt()).isEqualTo(1);
