Record the versions of pools in the store, for routers that start later

Each pool has a row with its versions, when each was recorded, and since when the record is complete; any router writes it by compare-and-set when the versions of a pool change. Streams begin at a version once it has been on record for the opening delay, so that a router that starts and reads the row knows every version at which streams may have begun. A record of an earlier era of the store is not trusted and is written again by the routers that run. Cost: one write for each change of a pool's versions, whatever the number of routers.

The property in VersionHistoryTest now restarts routers too.

--- a/forkseam-core/src/main/java/org/forkseam/core/member/VersionHistory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/VersionHistory.java
@@ -12,8 +12,9 @@
  *
  * <p>A stream of unknown origin can only be continued safely if its pool has had a single version
  * for as long as streams last. Such a conclusion must also hold on a router whose list is slightly
- * outdated. A version that is new to a pool therefore gets no streams until every router has either
- * read a list with it or treats its own list as outdated.
+ * outdated, and on one that has just started. Streams therefore begin at a version only once it has
+ * been on record in the store for so long that every router has either read a list with it or
+ * treats its own list as outdated.
  *
  * <p>Not thread-safe.
  *
@@ -32,22 +33,24 @@
     /** Allowance for the estimate of another router's read time. */
     private static final long CLOCK_MARGIN_MILLIS = 500;
 
-    private final Map<String, Map<Long, Listing>> mByPool = new HashMap<>();
+    private static final Recorded NOT_RECORDED = new Recorded(Map.of(), Long.MAX_VALUE);
+
+    /** When each version was last listed, by pool and version. */
+    private final Map<String, Map<Long, Long>> mListedAt = new HashMap<>();
+
+    private final Map<String, Recorded> mRecorded = new HashMap<>();
     private long mOutdatedMillis;
-    private long mCurrentAt = Long.MIN_VALUE / 2;
-    private long mCompleteSince;
+    private long mListCurrentAt = Long.MIN_VALUE / 2;
+    private long mListedSince;
+    private long mRecordsCurrentAt = Long.MIN_VALUE / 2;
 
     /**
-     * Times of a version in a pool.
+     * Record of a pool in the store, with local times.
      *
-     * @param opensAt when streams may begin at it
-     * @param listedAt when it was last listed
+     * @param recordedAt when each version was recorded
+     * @param completeSince time since which the record is complete
      */
-    private record Listing(long opensAt, long listedAt) {
-        Listing withListedAt(long millis) {
-            return new Listing(opensAt, millis);
-        }
-    }
+    private record Recorded(Map<Long, Long> recordedAt, long completeSince) {}
 
     private VersionHistory(long readIntervalMillis) {
         setReadInterval(readIntervalMillis);
@@ -67,54 +70,111 @@
         mOutdatedMillis = (long) (OUTDATED_INTERVALS * millis) + READ_MARGIN_MILLIS;
     }
 
-    /** Returns the time for which a version that is new to a pool gets no streams. */
+    /** Returns the time for which a version is on record before streams begin at it. */
     public long openingDelayMillis() {
         return mOutdatedMillis + CLOCK_MARGIN_MILLIS;
     }
 
+    // ---------------------------------------------------------------- updates
+
     /**
      * Applies the known targets.
      *
      * @param currentAtMillis a time at which the store certainly had no newer list
      */
     public void onTargets(Collection<Target> targets, long currentAtMillis, long nowMillis) {
-        if (currentAtMillis - mCurrentAt > mOutdatedMillis) {
-            mCompleteSince = currentAtMillis; // versions may have come and gone in between
+        if (currentAtMillis - mListCurrentAt > mOutdatedMillis) {
+            // Versions may have come and gone in between, and known ones been listed until now.
+            mListedSince = currentAtMillis;
+            mListedAt.values().forEach(known -> known.replaceAll((v, at) -> nowMillis));
         }
-        mCurrentAt = Math.max(mCurrentAt, currentAtMillis);
-        Map<String, Map<Long, Integer>> countsByPool = new HashMap<>();
+        mListCurrentAt = Math.max(mListCurrentAt, currentAtMillis);
         for (Target t : targets) {
-            countsByPool
-                    .computeIfAbsent(t.entry().pool(), p -> new HashMap<>())
-                    .merge(t.softwareKey(), 1, Integer::sum);
+            Map<Long, Long> known = mListedAt.get(t.entry().pool());
+            if (known == null) {
+                known = new HashMap<>();
+                mListedAt.put(t.entry().pool(), known);
+                addRecorded(t.entry().pool(), nowMillis);
+            }
+            known.put(t.softwareKey(), nowMillis);
         }
-        countsByPool.forEach((pool, counts) -> onVersions(pool, counts, nowMillis));
-        forgetUnlisted(nowMillis);
-    }
-
-    private void onVersions(String pool, Map<Long, Integer> counts, long now) {
-        Map<Long, Listing> known = mByPool.computeIfAbsent(pool, p -> new HashMap<>());
-        // In a pool that is new to this router, streams begin at the most common version.
-        long first = known.isEmpty() ? mostCommon(counts) : 0;
-        boolean isNewPool = known.isEmpty();
-        for (long version : counts.keySet()) {
-            Listing l = known.get(version);
-            long delay = isNewPool && version == first ? 0 : openingDelayMillis();
-            known.put(version, l == null ? new Listing(now + delay, now) : l.withListedAt(now));
+        long oldest = nowMillis - STREAM_LIFETIME_MILLIS;
+        mListedAt.values().forEach(known -> known.values().removeIf(at -> at < oldest));
+        mListedAt.values().removeIf(Map::isEmpty);
+    }
+
+    /**
+     * Applies the record of a pool.
+     *
+     * @param recordedAtMillis local time at which each version was recorded
+     * @param completeSinceMillis local time since which it is complete; {@link Long#MAX_VALUE} if
+     *     it may lack versions
+     */
+    public void onRecord(
+            String pool,
+            Map<Long, Long> recordedAtMillis,
+            long completeSinceMillis,
+            long nowMillis) {
+        mRecorded.put(pool, new Recorded(Map.copyOf(recordedAtMillis), completeSinceMillis));
+        addRecorded(pool, nowMillis);
+    }
+
+    /** Adds recorded versions, which may have been listed until now and still have streams. */
+    private void addRecorded(String pool, long now) {
+        Map<Long, Long> known = mListedAt.get(pool);
+        if (known != null) {
+            recorded(pool).recordedAt().keySet().forEach(v -> known.putIfAbsent(v, now));
         }
     }
 
-    private static long mostCommon(Map<Long, Integer> counts) {
-        return counts.entrySet().stream()
-                .max(Map.Entry.<Long, Integer>comparingByValue().thenComparing(Map.Entry::getKey))
-                .orElseThrow()
-                .getKey();
+    /** Records that all records were known as the store had them at this time. */
+    public void onRecordsCurrent(long currentAtMillis) {
+        mRecordsCurrentAt = Math.max(mRecordsCurrentAt, currentAtMillis);
+    }
+
+    // ---------------------------------------------------------------- queries
+
+    private Recorded recorded(String pool) {
+        return mRecorded.getOrDefault(pool, NOT_RECORDED);
+    }
+
+    /** Returns the pools with known versions. */
+    public Set<String> pools() {
+        return Set.copyOf(mListedAt.keySet());
     }
 
-    private void forgetUnlisted(long now) {
-        long oldest = now - STREAM_LIFETIME_MILLIS;
-        mByPool.values().forEach(known -> known.values().removeIf(l -> l.listedAt() < oldest));
-        mByPool.values().removeIf(Map::isEmpty);
+    /** Returns the versions at which streams of the pool may have begun that can be resumed. */
+    public Set<Long> versions(String pool) {
+        return Set.copyOf(mListedAt.getOrDefault(pool, Map.of()).keySet());
+    }
+
+    /** Returns the local time since which the versions of a pool are known without a gap. */
+    public long completeSince(String pool) {
+        boolean isConnected = mRecordsCurrentAt >= mListedSince;
+        return isConnected ? Math.min(mListedSince, recorded(pool).completeSince()) : mListedSince;
+    }
+
+    private boolean isComplete(String pool, long now) {
+        return now - completeSince(pool) >= STREAM_LIFETIME_MILLIS;
+    }
+
+    /**
+     * Returns whether the record of a pool lacks a version, or has one whose streams have all
+     * ended.
+     */
+    public boolean isRecordOutdated(String pool, long nowMillis) {
+        Set<Long> known = versions(pool);
+        Set<Long> onRecord = recorded(pool).recordedAt().keySet();
+        return !onRecord.containsAll(known)
+                || isComplete(pool, nowMillis) && !known.containsAll(onRecord);
+    }
+
+    /** Returns the record that a pool should have: the local time of each version's recording. */
+    public Map<Long, Long> nextRecord(String pool, long nowMillis) {
+        Map<Long, Long> next = new HashMap<>();
+        versions(pool)
+                .forEach(v -> next.put(v, recorded(pool).recordedAt().getOrDefault(v, nowMillis)));
+        return next;
     }
 
     /**
@@ -122,31 +182,26 @@
      * certainly only one.
      */
     public OptionalLong soleVersion(String pool, long nowMillis) {
-        boolean isOutdated = nowMillis - mCurrentAt > mOutdatedMillis;
-        if (isOutdated || nowMillis - mCompleteSince < STREAM_LIFETIME_MILLIS) {
+        boolean isOutdated = nowMillis - mListCurrentAt > mOutdatedMillis;
+        if (isOutdated || !isComplete(pool, nowMillis)) {
             return OptionalLong.empty();
         }
-        Set<Long> versions = mByPool.getOrDefault(pool, Map.of()).keySet();
+        Set<Long> versions = mListedAt.getOrDefault(pool, Map.of()).keySet();
         return versions.size() == 1
                 ? OptionalLong.of(versions.iterator().next())
                 : OptionalLong.empty();
     }
 
-    /** Returns the versions at which streams of the pool may have begun that can be resumed. */
-    public Set<Long> versions(String pool) {
-        return Set.copyOf(mByPool.getOrDefault(pool, Map.of()).keySet());
-    }
-
     /** Returns the versions of the pool at which no streams may begin yet. */
     public Set<Long> unopenedVersions(String pool, long nowMillis) {
+        Map<Long, Long> recordedAt = recorded(pool).recordedAt();
         Set<Long> unopened = new HashSet<>();
-        mByPool.getOrDefault(pool, Map.of())
-                .forEach(
-                        (version, l) -> {
-                            if (nowMillis < l.opensAt()) {
-                                unopened.add(version);
-                            }
-                        });
+        for (long version : mListedAt.getOrDefault(pool, Map.of()).keySet()) {
+            Long at = recordedAt.get(version);
+            if (at == null || nowMillis - at < openingDelayMillis()) {
+                unopened.add(version);
+            }
+        }
         return unopened;
     }
 }
--- a/forkseam-core/src/test/java/org/forkseam/core/member/VersionHistoryTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/member/VersionHistoryTest.java
@@ -11,7 +11,11 @@
 import org.junit.jupiter.api.Test;
 
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 
@@ -88,22 +92,90 @@
                 .isEqualTo(OptionalLong.of(key("v2")));
     }
 
+    private void record(long since, long now, String... versions) {
+        Map<Long, Long> recordedAt = new HashMap<>();
+        Arrays.stream(versions).forEach(v -> recordedAt.put(key(v), now));
+        mHistory.onRecord("p", recordedAt, since, now);
+        mHistory.onRecordsCurrent(now);
+    }
+
     @Test
     void newVersionOpensAfterTheDelay() {
+        record(0, 0, "v1");
         listFrom(0, 5_000, "v1");
         assertThat(mHistory.unopenedVersions("p", 5_000)).isEmpty();
         listFrom(6_000, 6_000, "v1", "v2", "v2");
+        mHistory.onRecord("p", Map.of(key("v1"), 0L, key("v2"), 6_000L), 0, 6_000);
         long opens = 6_000 + mHistory.openingDelayMillis();
         assertThat(mHistory.unopenedVersions("p", opens - 1)).containsExactly(key("v2"));
         assertThat(mHistory.unopenedVersions("p", opens)).isEmpty();
     }
 
-    /** A router that has just started must not wait with all versions. */
+    /** A router that starts later must know every version at which streams have begun. */
+    @Test
+    void unrecordedVersionDoesNotOpen() {
+        record(0, 0, "v1");
+        listFrom(0, 20_000, "v1", "v2");
+        assertThat(mHistory.unopenedVersions("p", 20_000)).containsExactly(key("v2"));
+        assertThat(mHistory.isRecordOutdated("p", 20_000)).isTrue();
+        record(0, 20_000, "v1", "v2");
+        assertThat(mHistory.isRecordOutdated("p", 20_000)).isFalse();
+        long opens = 20_000 + mHistory.openingDelayMillis();
+        assertThat(mHistory.unopenedVersions("p", opens)).isEmpty();
+    }
+
+    @Test
+    void recordReplacesTheHistoryOfARouterThatHasJustStarted() {
+        record(-LIFETIME_MILLIS, 0, "v1");
+        listFrom(0, 0, "v1");
+        assertThat(mHistory.soleVersion("p", 0)).isEqualTo(OptionalLong.of(key("v1")));
+    }
+
+    @Test
+    void recordedVersionThatIsGoneCountsUntilItsStreamsHaveEnded() {
+        record(-LIFETIME_MILLIS, 0, "v1", "v2");
+        listFrom(0, LIFETIME_MILLIS, "v1");
+        assertThat(mHistory.soleVersion("p", LIFETIME_MILLIS).isPresent()).isFalse();
+        listFrom(LIFETIME_MILLIS + 1_000, LIFETIME_MILLIS + 1_000, "v1");
+        assertThat(mHistory.soleVersion("p", LIFETIME_MILLIS + 1_000).isPresent()).isTrue();
+        assertThat(mHistory.isRecordOutdated("p", LIFETIME_MILLIS + 1_000)).isTrue();
+    }
+
+    /** After a gap between lists, a record read before the gap may lack versions. */
+    @Test
+    void recordReadBeforeAGapDoesNotReplaceTheHistory() {
+        record(-LIFETIME_MILLIS, 0, "v1");
+        listFrom(0, 0, "v1");
+        listFrom(20_000, 20_000, "v1");
+        assertThat(mHistory.soleVersion("p", 20_000).isPresent()).isFalse();
+        mHistory.onRecordsCurrent(20_000);
+        assertThat(mHistory.soleVersion("p", 20_000).isPresent()).isTrue();
+    }
+
     @Test
-    void mostCommonVersionOfANewPoolOpensAtOnce() {
-        listFrom(0, 0, "v1", "v2", "v2");
-        assertThat(mHistory.unopenedVersions("p", 0)).containsExactly(key("v1"));
-        assertThat(mHistory.unopenedVersions("q", 0)).isEmpty();
+    void recordThatMayLackVersionsDoesNotReplaceTheHistory() {
+        record(Long.MAX_VALUE, 0, "v1");
+        listFrom(0, 0, "v1");
+        assertThat(mHistory.soleVersion("p", 0).isPresent()).isFalse();
+    }
+
+    @Test
+    void recordRoundTripsAndMalformedOnesAreRejected() {
+        VersionRecord r = new VersionRecord(2, 12_345, Map.of(-7L, 3L, Long.MAX_VALUE, -4L));
+        assertThat(VersionRecord.parse(r.format())).isEqualTo(Optional.of(r));
+        for (String text :
+                List.of(
+                        "",
+                        "2",
+                        "2 1",
+                        "x 1 a@1",
+                        "1 x a@1",
+                        "1 2 g@1",
+                        "1 2 a",
+                        "1 2 a@",
+                        "1 2 a@1 b")) {
+            assertThat(VersionRecord.parse(text)).isEqualTo(Optional.empty());
+        }
     }
 
     /**
@@ -126,6 +198,8 @@
         long end = leaves + LIFETIME_MILLIS + 8_000;
         long lastOld = leaves; // streams of v1 may have begun until every router has read the list
         long firstNew = Long.MAX_VALUE;
+        Map<Long, Long> stored = Map.of();
+        long storedSince = 0;
         for (long t = 0; t < end; t += 50) {
             for (int r = 0; r < routers; r++) {
                 if (t >= nextRead[r]) {
@@ -133,7 +207,17 @@
                             t < joins
                                     ? new String[] {"v1"}
                                     : t < leaves ? new String[] {"v1", "v2"} : new String[] {"v2"};
-                    histories.get(r).onTargets(targets(listed), t, t);
+                    if (random.nextInt(20) == 0) {
+                        histories.set(r, VersionHistory.of(INTERVAL_MILLIS)); // a restart
+                    }
+                    VersionHistory read = histories.get(r);
+                    read.onRecord("p", stored, stored.isEmpty() ? Long.MAX_VALUE : storedSince, t);
+                    read.onRecordsCurrent(t);
+                    read.onTargets(targets(listed), t, t);
+                    if (read.isRecordOutdated("p", t)) {
+                        storedSince = read.completeSince("p");
+                        stored = read.nextRecord("p", t);
+                    }
                     boolean cutOff = random.nextInt(20) == 0;
                     nextRead[r] = t + (cutOff ? random.nextLong(20_000) : INTERVAL_MILLIS);
                 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
@@ -59,6 +59,7 @@
     private final TargetFollower mTargetFollower;
     private final RowFollower mRowFollower;
     private final ShardTables mShardTables;
+    private final VersionRecords mVersionRecords;
     private final Quarantine mQuarantine;
     private final TargetObservations mObservations;
     private final TargetSignals mSignals;
@@ -116,6 +117,8 @@
         SharedRows shared = new EraCheckedSharedRows(sources.shared(), mEra);
         mRowFollower = new RowFollower(context, shared, this::onRow);
         mShardTables = new ShardTables(context, shared, mRowFollower, mTargetFollower.targets());
+        mVersionRecords =
+                new VersionRecords(context, shared, mRowFollower, mTargetFollower.versions());
         mQuarantine = new Quarantine(context, shared, mRowFollower);
         mStreamOrigins =
                 new StreamOrigins(
@@ -157,11 +160,17 @@
         mLoop.execute(mTargetFollower::start);
         mLoop.execute(mRowFollower::start);
         mLoop.execute(mQuarantine::start);
-        scheduleEvery(mShardTables.planPeriodMillis(), () -> mShardTables.plan(config()));
+        scheduleEvery(mShardTables.planPeriodMillis(), this::planRows);
         scheduleEvery(LoadGossip.PERIOD_MILLIS, this::sendObservations);
         return mPeerGroup.listen();
     }
 
+    private void planRows() {
+        mShardTables.plan(config());
+        versions().onRecordsCurrent(mRowFollower.currentAt());
+        mVersionRecords.plan();
+    }
+
     private void scheduleEvery(long millis, Runnable task) {
         mLoop.scheduleWithFixedDelay(task, millis, millis, TimeUnit.MILLISECONDS);
     }
@@ -174,6 +183,7 @@
                     mConfigFollower.stop();
                     mTargetFollower.stop();
                     mShardTables.stop();
+                    mVersionRecords.stop();
                     mQuarantine.stop();
                     mRowFollower.stop();
                     mPeerGroup.close();
@@ -397,6 +407,7 @@
 
     private void onRow(SharedRow row) {
         mShardTables.apply(row);
+        mVersionRecords.apply(row);
         mQuarantine.apply(row);
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
@@ -45,6 +45,7 @@
     private OptionalLong mStoreClockOffset = OptionalLong.empty();
     private int mClockEra;
     private boolean mCatchingUp;
+    private long mCurrentAt = Long.MIN_VALUE / 2;
 
     /**
      * Creates a follower without rows.
@@ -95,6 +96,15 @@
         mClockEra = readAt.era();
     }
 
+    /** Returns a time at which the store certainly had no newer rows. */
+    long currentAt() {
+        return mCurrentAt;
+    }
+
+    private void onCurrentAt(long millis) {
+        mCurrentAt = Math.max(mCurrentAt, millis);
+    }
+
     List<SharedRow> rows() {
         return mTable.rows();
     }
@@ -135,11 +145,12 @@
 
     private void readAll() {
         if (!isStopped()) {
-            mRows.readAll().whenComplete(this::onReadAll);
+            long startedAt = now();
+            mRows.readAll().whenComplete((read, e) -> onReadAll(read, e, startedAt));
         }
     }
 
-    private void onReadAll(Versioned<List<SharedRow>> read, Throwable failure) {
+    private void onReadAll(Versioned<List<SharedRow>> read, Throwable failure, long startedAt) {
         if (failure != null) {
             schedule(backoffMillis(++mFailures), this::readAll);
             return;
@@ -148,6 +159,7 @@
         boolean first = !mHasRead;
         applyAll(read, Audience.ALL);
         mHasRead = true;
+        onCurrentAt(startedAt);
         if (first) {
             mRestorer.register();
         }
@@ -180,12 +192,16 @@
             return;
         }
         StorePosition since = mPosition;
+        long startedAt = now();
         mRows.awaitChanges(since, LONG_POLL_MILLIS)
-                .whenComplete((read, e) -> onChanges(read, e, since));
+                .whenComplete((read, e) -> onChanges(read, e, since, startedAt));
     }
 
     private void onChanges(
-            Versioned<List<SharedRow>> read, Throwable failure, StorePosition since) {
+            Versioned<List<SharedRow>> read,
+            Throwable failure,
+            StorePosition since,
+            long startedAt) {
         boolean otherHistory =
                 failure == null
                         ? !read.position().isSameEraAs(since)
@@ -202,6 +218,7 @@
         updateStoreClock(read.readTime());
         mPosition = StorePosition.newer(mPosition, read.position());
         read.value().forEach(this::apply);
+        onCurrentAt(startedAt);
         broadcast(new PeerMessage.Rows(read.readAt(), since, read.position(), true, read.value()));
         schedule(BATCH_MILLIS, this::follow);
     }
@@ -245,6 +262,7 @@
         if (peers().isPrecededBy(sender)) {
             mRole.onReaderHeard(now());
         }
+        onMessageApplied(m);
         if (!m.until().isAfter(mPosition) || !mHasRead) {
             return;
         }
@@ -254,11 +272,19 @@
         } else if (m.complete() && !isRestore && !m.since().isAfter(mPosition)) {
             mPosition = m.until();
             m.rows().forEach(this::apply);
+            onMessageApplied(m);
         } else {
             catchUp();
         }
     }
 
+    /** Updates {@link #currentAt} if the rows of another router's read are all known. */
+    private void onMessageApplied(PeerMessage.Rows m) {
+        if (mHasRead && m.until().equals(mPosition) && m.until().era() == mClockEra) {
+            onCurrentAt(Math.min(now(), m.readAt() - mStoreClockOffset.orElseThrow()));
+        }
+    }
+
     /**
      * Reads the rows after a gap in the messages, without the polling loop: a second loop would
      * duplicate its reads.
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowRestorer.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowRestorer.java
@@ -105,7 +105,9 @@
             mTable.drainResurrected().forEach(this::removeResurrected);
         }
         Optional<SharedRow> next =
-                mTable.unsynced().stream().filter(r -> !RowFollower.isRouter(r)).findFirst();
+                mTable.unsynced().stream()
+                        .filter(r -> !RowFollower.isRouter(r) && !VersionRecords.isRecord(r))
+                        .findFirst();
         if (next.isEmpty()) {
             return;
         }
