Copy prompts only between targets of one software version

A target that takes a request whose prompt another one holds is told to copy it from there (Kv-Fetch). The source was chosen without regard to its software version, so a target could go on with what another version had written: the same cause as streams that go on at another version. No caller reported it; targets do not check it.

A source must have the key of pool and version of the chosen target. PromptHolderIndexTest#targetOfAnotherVersionIsNoSource failed before (source b of v2 for a target of v1) and passes. Ruled out: keeping holders by version as well; the incarnation that is kept names one version already.

--- a/forkseam-core/src/main/java/org/forkseam/core/route/PromptHolderIndex.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/PromptHolderIndex.java
@@ -109,6 +109,9 @@
 
     private static boolean isUsableSource(Target t, Target chosen, long nowMillis) {
         // A target that is recovering from failures still has its cache.
-        return t != chosen && t.health().trafficShare(nowMillis) > 0 && !t.isSilent(nowMillis);
+        return t != chosen
+                && t.softwareKey() == chosen.softwareKey()
+                && t.health().trafficShare(nowMillis) > 0
+                && !t.isSilent(nowMillis);
     }
 }
--- a/forkseam-core/src/test/java/org/forkseam/core/route/PromptHolderIndexTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/PromptHolderIndexTest.java
@@ -27,6 +27,10 @@
         return new TargetEntry(id, "pool", "10.0.0.1:1", "z", 8, false, 0);
     }
 
+    private static TargetEntry entry(String id, String version) {
+        return new TargetEntry(id, "pool", "10.0.0.1:1", "z", 8, false, 0, 0, version);
+    }
+
     private static TargetIncarnation start(String id) {
         return new TargetIncarnation(id, 0);
     }
@@ -76,6 +80,22 @@
         assertThat(source("c", 100, "a", "b", "c")).isEqualTo(Optional.of("a"));
     }
 
+    /**
+     * Guards against a target that goes on with a prompt that another software version has read.
+     */
+    @Test
+    void targetOfAnotherVersionIsNoSource() {
+        mDirectory.apply(
+                StorePosition.of(0, 2),
+                List.of(entry("a", "v1"), entry("b", "v2"), entry("c", "v1")),
+                50);
+        mIndex.onAnswered(KEY, start("b"), 60);
+        assertThat(source("c", 100, "c")).isEqualTo(Optional.empty());
+        assertThat(source("c", 100, "b", "a", "c")).isEqualTo(Optional.of("a"));
+        mIndex.onAnswered(KEY, start("a"), 55);
+        assertThat(source("c", 100, "c")).isEqualTo(Optional.of("a"));
+    }
+
     @Test
     void unhealthyHomeIsNoSource() {
         target("a").health().onFailure(90);
