Keep a resumed stream in the pool that began it

The pool of a resumed stream now follows from the id of the attempt that began it (Resumes).

AdmissionTest#resumedStreamStaysInThePoolThatBeganIt failed before (q where p began) and passes; requests without an event, or on routes that cannot resume, are spread by their own id as before.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Admission.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Admission.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.flow;
 
 import org.forkseam.core.traffic.Route;
+import org.forkseam.core.traffic.RouteKind;
 import org.forkseam.core.traffic.Team;
 import org.forkseam.core.traffic.TrafficConfig;
 
@@ -48,7 +49,14 @@
         long wait = r.head().timeoutMillis().orElse(Long.MAX_VALUE);
         long held = Math.min(wait, p.route().timeoutMillis());
         long deadline = r.receivedMillis() + held - RESPONSE_MARGIN_MILLIS;
-        return new Admission(config, p.route(), p.team(), p.route().pool(r.id()), deadline);
+        return new Admission(
+                config, p.route(), p.team(), p.route().pool(poolKey(p.route(), r)), deadline);
+    }
+
+    /** Returns the id that selects the pool: a resumed stream stays in the pool that began it. */
+    private static String poolKey(Route route, CallerRequest r) {
+        boolean resumed = route.kind() == RouteKind.RESUMABLE && r.head().lastEventId().isPresent();
+        return resumed ? r.head().resumes().orElse(r.id()) : r.id();
     }
 
     /** Returns the time left until the deadline, at least 1 ms. */
