Do not infer the origin of streams on routes whose pools have changed

A route can move to other pools, be split, or lose paths to a longer prefix. A stream of such a route that no router knows could be taken for one of the pool that serves the path now, if that pool has had one version, and go on at another pool's software.

RoutingHistory keeps when the pools of a route's paths changed. For as long as streams last after that, origins on the route are not inferred: streams that run are reported to other routers, and only an origin that a router knows counts. Other changes of a configuration do not matter. RoutingHistoryTest; the class is new, so it did not fail before. Ruled out: any change of the configuration counts (configurations follow each other within seconds, and nothing would be inferred any more).

Open: a router that has just started does not know how routes were before.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -107,9 +107,7 @@
         if (route().kind() == RouteKind.RESUMABLE) {
             mLastEventId = mRequest.head().lastEventId().orElse(null);
             mResumable =
-                    Optional.of(
-                            ResumableStream.of(
-                                    mContext.fleetState().streamOrigins(), mAdmission, mRequest));
+                    Optional.of(ResumableStream.of(mContext.fleetState(), mAdmission, mRequest));
         }
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/ResumableStream.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/ResumableStream.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.flow;
 
 import org.forkseam.core.share.StreamOrigin;
+import org.forkseam.direct.know.FleetState;
 import org.forkseam.direct.know.StreamOrigins;
 
 import java.util.Optional;
@@ -14,26 +15,31 @@
  * long after the stream has begun.
  */
 final class ResumableStream {
+    private final FleetState mFleetState;
     private final StreamOrigins mOrigins;
-    private final String mPool;
+    private final Admission mAdmission;
     private final Optional<String> mFirstRequestId;
     private final boolean mResumed;
     private OptionalLong mSoftware = OptionalLong.empty();
     private boolean mReported;
 
     private ResumableStream(
-            StreamOrigins origins, String pool, Optional<String> firstRequestId, boolean resumed) {
-        mOrigins = origins;
-        mPool = pool;
+            FleetState fleetState,
+            Admission admission,
+            Optional<String> firstRequestId,
+            boolean resumed) {
+        mFleetState = fleetState;
+        mOrigins = fleetState.streamOrigins();
+        mAdmission = admission;
         mFirstRequestId = firstRequestId;
         mResumed = resumed;
     }
 
     /** Creates the stream of an admitted request. */
-    static ResumableStream of(StreamOrigins origins, Admission admission, CallerRequest request) {
+    static ResumableStream of(FleetState fleetState, Admission admission, CallerRequest request) {
         boolean resumed = request.head().lastEventId().isPresent();
         Optional<String> id = resumed ? request.head().resumes() : Optional.of(request.id());
-        return new ResumableStream(origins, admission.pool(), id, resumed);
+        return new ResumableStream(fleetState, admission, id, resumed);
     }
 
     /** Returns whether the caller resumes the stream. */
@@ -44,7 +50,8 @@
     /** Finds the software that began a resumed stream. */
     void findOrigin(Consumer<StreamOrigins.Result> listener) {
         // A caller that does not name the first request may still be served by a sole version.
-        mOrigins.find(StreamOrigins.streamOf(mFirstRequestId.orElse("")), mPool, listener);
+        String pool = mFleetState.isRouteSettled(mAdmission.route()) ? mAdmission.pool() : "";
+        mOrigins.find(StreamOrigins.streamOf(mFirstRequestId.orElse("")), pool, listener);
     }
 
     /** Records that the first events were passed on. */
@@ -59,13 +66,18 @@
 
     /** Reports the stream if other routers cannot infer its origin. */
     void reportUnlessInferable() {
-        if (mReported || mSoftware.isEmpty() || mOrigins.isInferable(mPool)) {
+        if (mReported || mSoftware.isEmpty() || isInferable()) {
             return;
         }
         mReported = true;
         mOrigins.report(origin());
     }
 
+    private boolean isInferable() {
+        return mFleetState.isRouteSettled(mAdmission.route())
+                && mOrigins.isInferable(mAdmission.pool());
+    }
+
     private StreamOrigin origin() {
         return new StreamOrigin(
                 StreamOrigins.streamOf(mFirstRequestId.orElseThrow()), mSoftware.getAsLong());
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigFollower.java
@@ -5,6 +5,7 @@
 import org.forkseam.core.store.StorePosition;
 import org.forkseam.core.store.StoreTimestamp;
 import org.forkseam.core.traffic.ConfigChange;
+import org.forkseam.core.traffic.RoutingHistory;
 import org.forkseam.core.traffic.TrafficConfig;
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.FleetSource;
@@ -40,6 +41,7 @@
     private final Evacuations mEvacuations = Evacuations.create();
     private final StoreReaderRole mRole = StoreReaderRole.of(READER_TIMEOUT_MILLIS);
     private TrafficConfig mConfig = TrafficConfig.none();
+    private final RoutingHistory mRouting = RoutingHistory.create();
     private StorePosition mPosition = StorePosition.NONE;
     private long mConfirmedAt;
     private StoreTimestamp mReadAt = StoreTimestamp.NEVER;
@@ -62,6 +64,10 @@
         mListener = listener;
     }
 
+    RoutingHistory routing() {
+        return mRouting;
+    }
+
     TrafficConfig config() {
         return mConfig;
     }
@@ -87,6 +93,7 @@
                 .with("origin", origin)
                 .log();
         mConfig = c;
+        mRouting.onConfig(c, now());
     }
 
     /** Replaces the evacuated domains unless the given ones are older. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
@@ -11,6 +11,7 @@
 import org.forkseam.core.route.PromptHolderIndex;
 import org.forkseam.core.share.LoadGossip;
 import org.forkseam.core.store.StorePosition;
+import org.forkseam.core.traffic.Route;
 import org.forkseam.core.traffic.TrafficConfig;
 import org.forkseam.core.util.Clock;
 import org.forkseam.direct.log.Event;
@@ -230,6 +231,13 @@
         return mConfigFollower.config();
     }
 
+    /** Returns whether a route has had the same pools for as long as streams last. */
+    public boolean isRouteSettled(Route route) {
+        return mConfigFollower
+                .routing()
+                .isUnchangedFor(route, VersionHistory.STREAM_LIFETIME_MILLIS, mClock.nowMillis());
+    }
+
     /** Returns the failure domains that operators have evacuated. */
     public Set<String> evacuated() {
         return mConfigFollower.evacuations().domains();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
@@ -141,7 +141,7 @@
      * Asks which software began a stream.
      *
      * @param stream hash of the id of the request that began it
-     * @param pool the stream's pool
+     * @param pool the stream's pool; empty if its origin may not be inferred
      */
     record StreamQuery(long stream, String pool) implements PeerMessage {}
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamOrigins.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamOrigins.java
@@ -139,6 +139,8 @@
     /**
      * Finds the software that began a stream.
      *
+     * @param pool the pool that certainly began it; empty if only an origin that a router knows may
+     *     be used
      * @param listener receives the result, before this method returns if it is known here
      */
     public void find(long stream, String pool, Consumer<Result> listener) {
