Report a stream again until another router is known

A router that had not yet read who the others are marked a stream as reported although it had told none; after its end the callers of such streams would have been refused. The report now counts only if it was sent. StreamOriginsTest asserts it for a router without others (it could not fail before: the method returned nothing).

--- a/forkseam-core/src/main/java/org/forkseam/core/traffic/RoutingHistory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/traffic/RoutingHistory.java
@@ -53,7 +53,7 @@
 
     /** Returns whether the paths of a route have been served by the same pools for a time. */
     public boolean isUnchangedFor(Route route, long millis, long nowMillis) {
-        Long changedAt = mChangedAt.get(PathKey.of(route));
+        Long changedAt = mChangedAt.isEmpty() ? null : mChangedAt.get(PathKey.of(route));
         return changedAt == null || nowMillis - changedAt >= millis;
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/ResumableStream.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/ResumableStream.java
@@ -69,8 +69,7 @@
         if (mReported || mSoftware.isEmpty() || isInferable()) {
             return;
         }
-        mReported = true;
-        mOrigins.report(origin());
+        mReported = mOrigins.report(origin());
     }
 
     private boolean isInferable() {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamOrigins.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamOrigins.java
@@ -127,11 +127,12 @@
         return mVersions.soleVersion(pool, mClock.nowMillis()).isPresent();
     }
 
-    /** Reports a stream to the routers that will be asked for it. */
-    public void report(StreamOrigin origin) {
-        mReports++;
-        mNetwork.sendToKeepers(
-                origin.stream(), KEEPERS, new PeerMessage.StreamOrigins(List.of(origin)));
+    /** Reports a stream to the routers that will be asked for it; returns whether any is known. */
+    public boolean report(StreamOrigin origin) {
+        PeerMessage m = new PeerMessage.StreamOrigins(List.of(origin));
+        int sent = mNetwork.sendToKeepers(origin.stream(), KEEPERS, m);
+        mReports += sent;
+        return sent > 0;
     }
 
     // ---------------------------------------------------------------- streams that are resumed
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/StreamOriginsTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/StreamOriginsTest.java
@@ -218,6 +218,7 @@
     void routerWithoutOthersKnowsItsOwnStreamsOnly() {
         Fleet f = new Fleet(1, 1, 0);
         f.router(0).begin(7, 70);
+        assertThat(f.router(0).mOrigins.report(new StreamOrigin(7, 70))).isFalse();
         List<StreamOrigins.Result> results = new ArrayList<>();
         f.router(0).mOrigins.find(7, POOL, results::add);
         f.router(0).mOrigins.find(8, POOL, results::add);
