Do not take a part of a changed list for a current one

A change of the list that needs several messages is applied part by part. The versions of pools counted as current at its read after the first part, so a router that lost the part with a new version could infer that a pool has a single one until the next notice, a second later. Only a whole list counts now. Found by reading; no run or test showed it, and TargetFollowerTest and StreamOrderTest pass as before.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
@@ -318,7 +318,7 @@
         mReadAt = delta.readTime();
         mPartsLeft = delta.remainingSteps();
         apply(list, delta.position(), toLocalTime(mReadAt));
-        updateVersions(mReadAt);
+        updateVersions(mPartsLeft == 0 ? mReadAt : StoreTimestamp.NEVER);
     }
 
     /** Returns whether a read is older than the known list, or too old to end the grace period. */
@@ -350,9 +350,12 @@
     /**
      * Updates the versions after another router's read. A read is converted with the start of this
      * router's own read of the same era, so that its time is not estimated too late.
+     *
+     * @param readAt time of the read; {@link StoreTimestamp#NEVER} if only a part of it is known
      */
     private void updateVersions(StoreTimestamp readAt) {
-        boolean sameEra = readAt.era() == mOffsetReadAt.era();
+        boolean sameEra =
+                readAt.isAfter(StoreTimestamp.NEVER) && readAt.era() == mOffsetReadAt.era();
         long currentAt = sameEra ? readAt.millis() + mEarliestClockOffset : Long.MIN_VALUE / 2;
         mVersions.onTargets(mTargets.all(), Math.min(now(), currentAt), now());
     }
