Let callers request a stream anew at once if its version has gone

The refusal carried the retry delay of an overloaded pool, although waiting does not bring the version back; it now has the delay of a stream that no router knows, 50 ms.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/FailureResponder.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/FailureResponder.java
@@ -7,6 +7,7 @@
  * was certainly not run, otherwise a failure. Used on the event loop.
  */
 final class FailureResponder {
+    /** Retry delay sent to a caller that has to request a stream from its beginning. */
     private static final long RESTART_DELAY_MILLIS = 50;
 
     private final RouterContext mContext;
@@ -35,6 +36,10 @@
         if (failIfMayHaveRun(reason, a, streaming)) {
             return;
         }
+        if (reason.equals(TargetSelection.VERSION_GONE)) {
+            respondNotResumable(reason);
+            return;
+        }
         long retryAfter = mContext.retryDelay(a.pool()).onRefused(mContext.now());
         OptionalLong availableIn = mTargetSelection.availableInMillis(a);
         if (availableIn.isPresent()) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetSelection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetSelection.java
@@ -23,6 +23,9 @@
  * copied. Used on the event loop.
  */
 final class TargetSelection {
+    /** Reason that no target of the required software is listed. */
+    static final String VERSION_GONE = "version_gone";
+
     private final RouterContext mContext;
     private final String mKey;
     private final long mKeyHash;
@@ -160,7 +163,7 @@
         long now = mContext.now();
         List<Target> all = allowedTargets(admission);
         if (all.isEmpty() && mRequiredSoftware.isPresent()) {
-            return "version_gone";
+            return VERSION_GONE;
         }
         long coldMillis = coldStart(admission).millis();
         if (all.stream().anyMatch(t -> t.acceptsRequests(now) && t.isCold(coldMillis, now))) {
