Spread the writes of version records, and broadcast only the one that took effect

All routers of a fleet that starts found no record and wrote one within 0.1 s, and each of them, also those whose write lost, broadcast the row: 299 writes and up to 299 x 298 messages.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/VersionRecords.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/VersionRecords.java
@@ -74,7 +74,8 @@
         for (String pool : mVersions.pools()) {
             if (isOutdated(pool)) {
                 mWriting = true;
-                long first = mRowFollower.isReader() ? 0 : FALLBACK_DELAY_MILLIS;
+                long first =
+                        mRowFollower.isReader() ? 0 : FALLBACK_DELAY_MILLIS + fleetJitterMillis();
                 schedule(first + random().nextLong(WRITE_JITTER_MILLIS), () -> write(pool));
                 return;
             }
@@ -100,14 +101,18 @@
                 new VersionRecord(era().newest(), mVersions.completeSince(pool) + offset, versions);
         String key = KEY_PREFIX + pool;
         mRows.compareAndSet(key, r.format(), mRowFollower.position(key))
-                .whenComplete(
-                        (row, failure) -> {
-                            mWriting = false;
-                            if (failure == null) {
-                                mRowFollower.onWritten(row);
-                            } else {
-                                RowFollower.logWriteFailure(key, failure);
-                            }
-                        });
+                .whenComplete((row, failure) -> onWritten(r, key, row, failure));
+    }
+
+    /** Only the router whose write took effect broadcasts the row. */
+    private void onWritten(VersionRecord written, String key, SharedRow row, Throwable failure) {
+        mWriting = false;
+        if (failure != null) {
+            RowFollower.logWriteFailure(key, failure);
+        } else if (row.value().equals(written.format())) {
+            mRowFollower.onWritten(row);
+        } else {
+            mRowFollower.onRead(row);
+        }
     }
 }
