Conclude from the silence of targets and callers only once what had arrived was read

Cause: the periodic check runs as soon as it is due, before what arrived meanwhile is read, and takes all of that time for silence. LoopStaller forces this order of events; RouterStallTest was red by it in each run.

Fix: a check that would have such an effect is carried out one iteration of the loop later, for the time at which it was due (ReadBarrier). What had arrived by then has been read, so that silence is true. No threshold decides what a stall is, and a check without effects runs as before. The same holds for stale connections, for leaving, for requests that wait for a target, and for the choice of another target after a stall. ArrivalTracker lost a stall if the check ran before the reads, so that callers who had left were not noticed.

Deferring late checks only misses an answer that arrives during a stall below the threshold. Several iterations would read more than 1,024 channels, which no reckoned freeze leaves (23 requests a second and router), and postpone the decision with each short stall.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/ArrivalTracker.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/ArrivalTracker.java
@@ -30,12 +30,21 @@
     /** Returns the arrival of the request or connection being read. */
     Arrival next() {
         long now = mClock.nowMillis();
-        if (mStall == null && now - mLastIteration > ITERATION_MILLIS + STALL_TOLERANCE_MILLIS) {
+        if (mStall == null && isLate(now)) {
             mStall = new Arrival.ReadStall(mLastIteration, now);
         }
         return mStall == null ? Arrival.at(now) : mStall.nextArrival();
     }
 
+    /** Returns whether input that arrived during a stall may wait unread. */
+    boolean isStalled() {
+        return mStall != null || isLate(mClock.nowMillis());
+    }
+
+    private boolean isLate(long now) {
+        return now - mLastIteration > ITERATION_MILLIS + STALL_TOLERANCE_MILLIS;
+    }
+
     /** Ends the current stall after all pending input has been read. */
     void onReadsDrained() {
         mLastIteration = mClock.nowMillis();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerConnection.java
@@ -234,17 +234,15 @@
         ctx.close(); // connection reset by the caller; channelInactive cleans up
     }
 
-    /** Closes the connection if it was idle, or receiving a request head, for too long. */
-    void closeIfStale(long now, CallerLimits limits) {
+    /** Returns whether the connection was idle, or receiving a request head, for too long. */
+    boolean isStale(long now, CallerLimits limits) {
         if (mFlow != null || mClosing) {
-            return;
+            return false;
         }
         boolean slowHead =
                 mRequestStartedAt != 0 && now - mRequestStartedAt > limits.headerMillis();
         boolean idle = mRequestStartedAt == 0 && now - mLastUse > limits.idleMillis();
-        if (slowHead || idle) {
-            close();
-        }
+        return slowHead || idle;
     }
 
     /** Closes the connection if no request is active. */
@@ -259,7 +257,7 @@
         return mFlow != null || mRequestStartedAt != 0;
     }
 
-    private void close() {
+    void close() {
         mClosing = true;
         mChannel.close();
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -146,7 +146,25 @@
 
     // ---------------------------------------------------------------- attempts
 
+    /**
+     * Starts an attempt. After a stall, other targets are compared only once their responses have
+     * been read.
+     */
     private void startAttempt() {
+        if (mContext.arrivalTracker().isStalled()) {
+            mContext.readBarrier().afterReads(this::selectTargetUnlessDone);
+            return;
+        }
+        selectTarget();
+    }
+
+    private void selectTargetUnlessDone() {
+        if (!mDone) {
+            selectTarget();
+        }
+    }
+
+    private void selectTarget() {
         if (!mAdmission.hasTimeForAttempt(mContext.now())) {
             respondWithFailure("no_time");
             return;
@@ -192,7 +210,7 @@
         }
         mTargetSelection.clearTried();
         mLogger.onHeldForTarget(availableIn.getAsLong());
-        mContext.timer().after(availableIn.getAsLong(), this::startAttemptUnlessDone);
+        mContext.readBarrier().schedule(availableIn.getAsLong(), this::selectTargetUnlessDone);
     }
 
     private void startAttemptUnlessDone() {
@@ -323,67 +341,92 @@
     // ---------------------------------------------------------------- timeouts
 
     /** Refuses the request if the router has no configuration for too long. */
-    private void refuseIfUnconfigured(long now) {
-        if (now - mReadAt > CONFIG_WAIT_MILLIS) {
+    private void refuseIfUnconfigured(long readUntil) {
+        if (isUnconfiguredTooLong(readUntil)) {
             mConfig = mContext.fleetState().config();
             mResponse.refuseUnconfigured(UNCONFIGURED_RETRY_AFTER_MILLIS);
         }
     }
 
-    /** Checks the deadline and whether the current attempt is stalled. */
-    void onTick(long now) {
+    private boolean isUnconfiguredTooLong(long now) {
+        return now - mReadAt > CONFIG_WAIT_MILLIS;
+    }
+
+    /** Returns whether a timeout has passed unless unread input shows otherwise. */
+    boolean isTimedOut(long now) {
+        if (mDone) {
+            return false;
+        }
+        if (mConfig == null) {
+            return isUnconfiguredTooLong(now);
+        }
+        return mAdmission.isExpired(now) || mayReplaceAttempt(now);
+    }
+
+    /**
+     * Checks the deadline and whether the current attempt is stalled.
+     *
+     * @param readUntil time up to which all input has been read
+     */
+    void onTick(long readUntil) {
         if (mDone) {
             return;
         }
         if (mConfig == null) {
-            refuseIfUnconfigured(now);
+            refuseIfUnconfigured(readUntil);
             return;
         }
-        if (mAdmission.isExpired(now)) {
-            onDeadline();
+        if (mAdmission.isExpired(readUntil)) {
+            onDeadline(readUntil);
             return;
         }
         mResumable.ifPresent(ResumableStream::reportUnlessInferable);
-        if (mAttempt != null && isStalled(mAttempt, now)) {
-            replaceStalledAttempt(now);
+        if (mayReplaceAttempt(readUntil)) {
+            replaceStalledAttempt(readUntil);
         }
     }
 
-    private boolean isStalled(Attempt a, long now) {
+    private boolean mayReplaceAttempt(long readUntil) {
+        return mAttempt != null && isStalled(mAttempt, readUntil) && canReplaceAttempt();
+    }
+
+    private boolean isStalled(Attempt a, long readUntil) {
         if (!mAttempts.allowsRetry(route())) {
             return false;
         }
         return StallDetector.isStalled(
-                route(), a.silentMillis(now), a.target().silentMillis(now), mStreaming);
+                route(), a.silentMillis(readUntil), a.target().silentMillis(readUntil), mStreaming);
     }
 
-    private void replaceStalledAttempt(long now) {
+    private boolean canReplaceAttempt() {
         if (mStreaming && !mTargetSelection.hasUntriedTarget(mAdmission)) {
-            return; // the stalled target may still continue
-        }
-        if (mContext.retryBudgets().pool(pool()).remaining(now) < 1) {
-            return;
+            return false; // the stalled target may still continue
         }
+        return mContext.retryBudgets().pool(pool()).remaining(mContext.now()) >= 1;
+    }
+
+    private void replaceStalledAttempt(long readUntil) {
         Attempt a = mAttempt;
         a.cancel();
         onAttemptEnded(
                 a,
                 AttemptResult.of(
-                        AttemptResult.Kind.GIVEN_UP, "silent " + a.silentMillis(now) + " ms"));
+                        AttemptResult.Kind.GIVEN_UP,
+                        "silent " + a.silentMillis(readUntil) + " ms"));
     }
 
     private void updateLastEventId(Attempt a) {
         a.splitter().lastEventId().ifPresent(id -> mLastEventId = id);
     }
 
-    private void onDeadline() {
+    private void onDeadline(long readUntil) {
         if (mAttempt != null) {
             Attempt a = mAttempt;
             mAttempt = null;
             mAttempts.onFailed(a.isSent());
             a.cancel();
             mContext.meters().onAttempt("DEADLINE");
-            if (a.isSent() && a.target().isSilent(mContext.now())) {
+            if (a.isSent() && a.target().isSilent(readUntil)) {
                 a.target().health().onFailure(mContext.now());
             }
         }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -8,6 +8,7 @@
 import org.forkseam.core.route.TargetPicker;
 import org.forkseam.core.util.Clock;
 import org.forkseam.core.util.DecisionLog;
+import org.forkseam.direct.io.ReadBarrier;
 import org.forkseam.direct.know.FleetState;
 import org.forkseam.direct.spi.HeaderCodec;
 
@@ -30,8 +31,8 @@
     private final RequestMeters mMeters;
     private final ArrivalTracker mArrivalTracker;
     private final RequestQueue mRequestQueue;
+    private final ReadBarrier mReadBarrier;
     private final EventLoopLag mLoopLag;
-    private final Timer mTimer;
     private final Map<String, RetryDelayEstimator> mRetryDelays = new HashMap<>();
     private final Map<String, ErrorRate> mErrorRates = new HashMap<>();
     private final Set<RequestFlow> mActiveRequests = new LinkedHashSet<>();
@@ -57,12 +58,6 @@
         }
     }
 
-    /** Runs delayed tasks on the event loop. */
-    interface Timer {
-        /** Runs a task after a delay. */
-        void after(long millis, Runnable task);
-    }
-
     /** Components of a context. */
     record Parts(
             Clock clock,
@@ -76,7 +71,7 @@
             RequestMeters meters,
             ArrivalTracker arrivalTracker,
             RequestQueue.LoopScheduler loopScheduler,
-            Timer timer) {}
+            ReadBarrier readBarrier) {}
 
     private RouterContext(Parts p) {
         mClock = p.clock();
@@ -92,7 +87,7 @@
         mArrivalTracker = p.arrivalTracker();
         mRequestQueue = new RequestQueue(mClock, mArrivalTracker, p.loopScheduler());
         mLoopLag = new EventLoopLag(ArrivalTracker.ITERATION_MILLIS, mClock.nowMillis());
-        mTimer = p.timer();
+        mReadBarrier = p.readBarrier();
     }
 
     static RouterContext of(Parts parts) {
@@ -121,8 +116,8 @@
         return mErrorRates.computeIfAbsent(pool, p -> new ErrorRate());
     }
 
-    Timer timer() {
-        return mTimer;
+    ReadBarrier readBarrier() {
+        return mReadBarrier;
     }
 
     EventLoopLag loopLag() {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -18,6 +18,7 @@
 import org.forkseam.direct.RouterSettings;
 import org.forkseam.direct.io.Connector;
 import org.forkseam.direct.io.EarlyServerSocket;
+import org.forkseam.direct.io.ReadBarrier;
 import org.forkseam.direct.know.FleetState;
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.HeaderCodec;
@@ -75,6 +76,7 @@
     private CompletableFuture<Void> mStopped;
     private long mDrainStartMillis;
     private long mLastCleanupMillis;
+    private boolean mCheckPending;
 
     private RouterService(EventLoop loop, Clock clock, RouterSettings settings, Parts p) {
         mLoop = loop;
@@ -103,7 +105,7 @@
                                 new RequestMeters(),
                                 new ArrivalTracker(clock, p.listener().openedMillis(clock)),
                                 loopScheduler(loop),
-                                timer(loop)));
+                                ReadBarrier.of(loop)));
         mServer = new CallerServer(loop, mContext);
     }
 
@@ -124,10 +126,6 @@
         };
     }
 
-    private static RouterContext.Timer timer(EventLoop loop) {
-        return (millis, task) -> loop.schedule(task, millis, TimeUnit.MILLISECONDS);
-    }
-
     private static TargetPicker homePicker(RouterSettings.Bounds b) {
         return BoundedLoadPicker.of(b.maxLoadRatio() * HOME_LOAD_FACTOR, HOME_EXTRA_REQUESTS);
     }
@@ -267,18 +265,58 @@
                     .with("in_flight", mContext.activeRequests().size())
                     .log();
         }
+        if (mCheckPending) {
+            return;
+        }
+        if (!mayConcludeFromSilence(now)) {
+            check(now);
+            return;
+        }
+        mCheckPending = true;
+        mContext.readBarrier()
+                .afterReads(
+                        () -> {
+                            mCheckPending = false;
+                            check(now);
+                        });
+    }
+
+    /** Returns whether a check may have effects that unread input would prevent. */
+    private boolean mayConcludeFromSilence(long now) {
+        return mContext.arrivalTracker().isStalled()
+                || mStopped != null
+                || mContext.activeRequests().stream().anyMatch(f -> f.isTimedOut(now))
+                || isCleanupDue(now) && !staleConnections(now).isEmpty();
+    }
+
+    /**
+     * Checks for timeouts.
+     *
+     * @param readUntil time up to which all input has been read
+     */
+    private void check(long readUntil) {
         mContext.requestQueue().onTick();
-        List.copyOf(mContext.activeRequests()).forEach(f -> f.onTick(now));
-        if (now - mLastCleanupMillis >= CLEANUP_MILLIS) {
-            mLastCleanupMillis = now;
-            closeStaleConnections(now);
+        List.copyOf(mContext.activeRequests()).forEach(f -> f.onTick(readUntil));
+        if (isCleanupDue(readUntil)) {
+            mLastCleanupMillis = readUntil;
+            closeUnusedConnections();
+            staleConnections(readUntil).forEach(CallerConnection::close);
         }
         if (mStopped != null) {
-            continueDraining(now);
+            continueDraining(readUntil);
         }
     }
 
-    private void closeStaleConnections(long now) {
+    private boolean isCleanupDue(long now) {
+        return now - mLastCleanupMillis >= CLEANUP_MILLIS;
+    }
+
+    private List<CallerConnection> staleConnections(long now) {
+        CallerLimits limits = mFleetState.config().limits();
+        return mContext.connections().stream().filter(c -> c.isStale(now, limits)).toList();
+    }
+
+    private void closeUnusedConnections() {
         Map<TargetIncarnation, Target> known = new HashMap<>();
         for (Target t : mFleetState.targets().all()) {
             known.put(t.incarnation(), t);
@@ -286,8 +324,6 @@
                     .setLimit(t, mFleetState.config().pool(t.entry().pool()), routerCount());
         }
         mContext.targetConnections().closeUnused(known);
-        CallerLimits limits = mFleetState.config().limits();
-        List.copyOf(mContext.connections()).forEach(c -> c.closeIfStale(now, limits));
     }
 
     private int routerCount() {
--- a/forkseam-direct/src/test/java/org/forkseam/direct/LoopStaller.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/LoopStaller.java
@@ -26,10 +26,16 @@
 
     /** A stall that begins with the next datagram. */
     private static final class Stall {
+        private final Runnable mFirst;
         private final CountDownLatch mBegun = new CountDownLatch(1);
         private final CountDownLatch mEnd = new CountDownLatch(1);
 
+        Stall(Runnable first) {
+            mFirst = first;
+        }
+
         void run() throws InterruptedException {
+            mFirst.run();
             mBegun.countDown();
             mEnd.await();
         }
@@ -62,7 +68,12 @@
 
     /** Stalls the loop until {@link #resume}; returns once the loop has stopped. */
     public void stall() throws IOException, InterruptedException {
-        mStall = new Stall();
+        stall(() -> {});
+    }
+
+    /** Runs a task on the loop and stalls it at once; returns once the loop has stopped. */
+    public void stall(Runnable first) throws IOException, InterruptedException {
+        mStall = new Stall(first);
         InetSocketAddress to = (InetSocketAddress) mChannel.localAddress();
         mSender.send(new java.net.DatagramPacket(new byte[1], 1, to));
         mStall.mBegun.await();
