Let calls and connection attempts time out only once what had arrived was read

Symptom: after a freeze of a router for longer than a timeout, calls to the store and to other routers failed although their responses waited unread (store_lost, then reads of everything), and connections to targets counted as unreachable that had been established meanwhile. Callers were sent to other targets, and the target's health was blamed.

Fix: both timeouts wait for the barrier. Netty's connect timeout is replaced, since it cannot wait; its detail reads "not established within 300 ms". A server that is silent in truth times out as soon as the loop runs again, and an address that does not respond fails as before.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/Connector.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/Connector.java
@@ -2,15 +2,17 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 
 import java.net.ConnectException;
+import java.nio.channels.ClosedChannelException;
+import java.util.concurrent.Future;
 
 /**
  * Opens connections to HTTP servers by IP address. Used on the event loop.
@@ -21,6 +23,9 @@
     /** Connect timeout; hosts are a few milliseconds apart. */
     public static final int CONNECT_TIMEOUT_MILLIS = 300;
 
+    /** Disables Netty's timeout, which does not wait for unread input. */
+    private static final int NO_TIMEOUT = 0;
+
     private static final int MAX_HEADER_BYTES = 32_768;
 
     private final Bootstrap mBootstrap;
@@ -33,7 +38,7 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.ALLOCATOR, Buffers.allocator())
-                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, NO_TIMEOUT);
     }
 
     /** Creates a connector. */
@@ -55,24 +60,40 @@
                         ch.pipeline().addLast(codec(), c);
                     }
                 });
-        b.connect(Addresses.parse(address))
-                .addListener(
-                        f -> {
-                            if (f.isSuccess()) {
-                                mOpenedCount++;
-                                callback.onConnection(c);
-                            } else {
-                                onFailed.run();
-                                callback.onConnectionFailed(
-                                        failureOf(f.cause()), String.valueOf(f.cause()));
-                            }
-                        });
+        ChannelFuture connecting = b.connect(Addresses.parse(address));
+        Future<?> timeout =
+                ReadBarrier.of(connecting.channel().eventLoop())
+                        .schedule(CONNECT_TIMEOUT_MILLIS, () -> abort(connecting));
+        connecting.addListener(
+                f -> {
+                    timeout.cancel(false);
+                    if (f.isSuccess()) {
+                        mOpenedCount++;
+                        callback.onConnection(c);
+                    } else {
+                        onFailed.run();
+                        callback.onConnectionFailed(failureOf(f.cause()), detailOf(f.cause()));
+                    }
+                });
+    }
+
+    /** Fails a connection attempt that has not completed. */
+    private static void abort(ChannelFuture connecting) {
+        if (!connecting.isDone()) {
+            connecting.channel().close();
+        }
     }
 
     private static ExchangeFailure failureOf(Throwable cause) {
-        boolean refused =
-                cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
-        return refused ? ExchangeFailure.NOBODY_LISTENS : ExchangeFailure.UNREACHABLE;
+        return cause instanceof ConnectException
+                ? ExchangeFailure.NOBODY_LISTENS
+                : ExchangeFailure.UNREACHABLE;
+    }
+
+    private static String detailOf(Throwable cause) {
+        return cause instanceof ClosedChannelException
+                ? "not established within " + CONNECT_TIMEOUT_MILLIS + " ms"
+                : String.valueOf(cause);
     }
 
     private static HttpClientCodec codec() {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/SimpleHttpClient.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/SimpleHttpClient.java
@@ -17,7 +17,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Client for small requests to one HTTP server with buffered responses. Used on the event loop.
@@ -30,14 +29,14 @@
     /** Older idle connections may have been closed by the server. */
     private static final long MAX_IDLE_MILLIS = 4_000;
 
-    private final EventLoop mLoop;
+    private final ReadBarrier mReadBarrier;
     private final ConnectionPool mPool;
     private final String mAddress;
     private long mCallCount;
     private long mBytesRead;
 
     private SimpleHttpClient(EventLoop loop, Connector connector, Clock clock, String address) {
-        mLoop = loop;
+        mReadBarrier = ReadBarrier.of(loop);
         mPool = ConnectionPool.of(connector, clock, address);
         mAddress = address;
     }
@@ -71,10 +70,9 @@
         mCallCount++;
         Call call = new Call(request(method, uri, body));
         call.mTimer =
-                mLoop.schedule(
-                        () -> call.fail("no complete response within " + timeoutMillis + " ms"),
+                mReadBarrier.schedule(
                         timeoutMillis,
-                        TimeUnit.MILLISECONDS);
+                        () -> call.fail("no complete response within " + timeoutMillis + " ms"));
         mPool.acquire(MAX_IDLE_MILLIS, call);
         return call.mResponse;
     }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/io/StalledClientTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/io/StalledClientTest.java
@@ -181,7 +181,7 @@
         try (FullServer server = new FullServer()) {
             Result result = connect(server);
             assertThat(result.mResult.get(WAIT_SECONDS, TimeUnit.SECONDS))
-                    .startsWith("UNREACHABLE ");
+                    .isEqualTo("UNREACHABLE not established within 300 ms");
         }
     }
 }
