Conclude from the silence of other routers only once their messages were read

Symptom: after a freeze of a router, a resumed stream was refused as unknown although another router's reply waited unread. By the same cause a router may end evacuations that were confirmed, take over the reads of the store from a router whose messages wait, or forget routers that have registered again.

Fix: these timers wait for the barrier: one iteration of the loop for each of them that runs out, none else.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigFollower.java
@@ -110,7 +110,7 @@
      */
     private void scheduleSettle() {
         if (mEvacuations.isReconciling(now()) && (mSettleTask == null || mSettleTask.isDone())) {
-            mSettleTask = schedule(mEvacuations.retainUntil() - now(), this::settle);
+            mSettleTask = scheduleTimeout(mEvacuations.retainUntil() - now(), this::settle);
         }
     }
 
@@ -150,7 +150,7 @@
         }
         long standby = mRole.standbyMillis(now());
         if (standby > 0) {
-            schedule(standby + jitterMillis(), this::follow);
+            scheduleTimeout(standby + jitterMillis(), this::follow);
             return;
         }
         StorePosition since = mPosition;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
@@ -14,6 +14,7 @@
 import org.forkseam.core.traffic.Route;
 import org.forkseam.core.traffic.TrafficConfig;
 import org.forkseam.core.util.Clock;
+import org.forkseam.direct.io.ReadBarrier;
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.FleetSource;
 import org.forkseam.direct.spi.SharedRow;
@@ -123,7 +124,7 @@
         mQuarantine = new Quarantine(context, shared, mRowFollower);
         mStreamOrigins =
                 new StreamOrigins(
-                        (millis, task) -> loop.schedule(task, millis, TimeUnit.MILLISECONDS),
+                        ReadBarrier.of(loop)::schedule,
                         clock,
                         mPeerGroup,
                         mTargetFollower.versions());
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/FollowerBase.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/FollowerBase.java
@@ -4,6 +4,7 @@
 
 import org.forkseam.core.store.StorePosition;
 import org.forkseam.core.util.Clock;
+import org.forkseam.direct.io.ReadBarrier;
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -46,6 +47,7 @@
     private static final long JITTER_MILLIS_PER_ROUTER = 10;
 
     private final Context mContext;
+    private final ReadBarrier mReadBarrier;
     private boolean mStopped;
 
     /**
@@ -70,6 +72,7 @@
 
     FollowerBase(Context context) {
         mContext = context;
+        mReadBarrier = ReadBarrier.of(context.loop());
     }
 
     void stop() {
@@ -104,6 +107,11 @@
         return mContext.loop().schedule(task, millis, TimeUnit.MILLISECONDS);
     }
 
+    /** Schedules a task that concludes something from messages that did not arrive. */
+    final java.util.concurrent.Future<?> scheduleTimeout(long millis, Runnable task) {
+        return mReadBarrier.schedule(millis, task);
+    }
+
     final StoreEra era() {
         return mContext.era();
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
@@ -188,7 +188,7 @@
         }
         long quiet = mRole.standbyMillis(now());
         if (quiet > 0) {
-            schedule(quiet + jitterMillis(), this::follow);
+            scheduleTimeout(quiet + jitterMillis(), this::follow);
             return;
         }
         StorePosition since = mPosition;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowRestorer.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowRestorer.java
@@ -93,7 +93,7 @@
         schedule(RETRY_MILLIS + fleetJitterMillis(), this::register);
         long pause = isFirst ? 0 : FALLBACK_WRITE_DELAY_MILLIS + fleetJitterMillis();
         schedule(pause, () -> rewriteRows(isFirst));
-        schedule(ROUTER_EXPIRY_MILLIS, this::expireRouters);
+        scheduleTimeout(ROUTER_EXPIRY_MILLIS, this::expireRouters);
     }
 
     /** Writes the rows that the store lacks, one at a time. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
@@ -190,7 +190,8 @@
                             JITTER_MILLIS,
                             GRACE_END_JITTER_MILLIS_PER_ROUTER * peers().peerCount());
             mGraceEndRead =
-                    schedule(Math.max(0, wait) + random().nextLong(span + 1), this::readAtGraceEnd);
+                    scheduleTimeout(
+                            Math.max(0, wait) + random().nextLong(span + 1), this::readAtGraceEnd);
         }
     }
 
@@ -239,7 +240,7 @@
         if (mNextRead != null) {
             mNextRead.cancel(false);
         }
-        mNextRead = schedule(millis, read);
+        mNextRead = scheduleTimeout(millis, read);
     }
 
     /** Reads the list unless another router has confirmed it within the interval. */
