Log the shared parts of the prompt of each failed attempt

The lines of the reported incident named only the hash of the whole content of a broken request, so that neither an operator nor we could see what the requests beside the crashes had in common. attempt_ended has the ids of the shared parts now. No change of logic.

--- a/forkseam-core/src/main/java/org/forkseam/core/traffic/Prompt.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/traffic/Prompt.java
@@ -23,9 +23,14 @@
         return parts.stream().mapToLong(Part::tokens).sum();
     }
 
-    /** Returns the length of all parts but the last in tokens. */
+    /** Returns all parts but the last, which other requests may have too. */
+    public List<Part> sharedParts() {
+        return parts.subList(0, Math.max(0, parts.size() - 1));
+    }
+
+    /** Returns the length of the shared parts in tokens. */
     public long sharedTokens() {
-        return parts.isEmpty() ? 0 : tokens() - parts.get(parts.size() - 1).tokens();
+        return sharedParts().stream().mapToLong(Part::tokens).sum();
     }
 
     /** Returns the id of the last shared part, or of the only part. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
@@ -3,12 +3,15 @@
 import org.forkseam.core.member.Target;
 import org.forkseam.core.outcome.SlidingWindowRetryBudget;
 import org.forkseam.core.route.Pick;
+import org.forkseam.core.traffic.Prompt;
 import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.know.StreamOrigins;
 import org.forkseam.direct.log.Event;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 /**
  * Logs the decisions on one request: a log line per failed attempt and one for the outcome, and
@@ -94,6 +97,7 @@
         Event.of("attempt_ended")
                 .with("request", mRequest.id())
                 .with("content", mContentHash)
+                .with("parts", sharedParts())
                 .with("target", a.target().entry().id())
                 .with("address", a.target().entry().address())
                 .with("version", a.target().entry().version())
@@ -106,6 +110,13 @@
                 .log();
     }
 
+    /** Returns the ids of the shared parts of the prompt, separated by commas. */
+    private String sharedParts() {
+        return mRequest.head().prompt().map(Prompt::sharedParts).orElse(List.of()).stream()
+                .map(Prompt.Part::id)
+                .collect(Collectors.joining(","));
+    }
+
     /**
      * Logs that a request is not retried because the pool's retry budget is used up.
      *
