Quarantine prompt parts that crash targets, not only whole requests

Cause: crashes were counted by the hash of the whole content of a request. No two of these requests were equal, so that each started at zero and cost two targets. Class: a limit counted by a key that callers can vary.

Fix: crashes are counted by fingerprints, one of the content and one of each shared part of the prompt, with the same events, rows and terms. What a part needs beyond that: - An answer clears all parts of a request, if a crash cannot look like it: a success whose end is marked, or a stream that outlives the crash delay. It counts for a second only, since a part that begins to crash targets was answered until then. A router that has seen an answer denies the suspicion of others. - Parts with three crashes in common are tied: each may be the cause. A request that has only some of them is tried, one in the fleet at a time, by compare-and-set.

Ruled out on the way, each by a failing case: a row written at the first sight of three crashes (ties were unknown yet, and the part beside the cause was refused for a whole term); a trial that settles the cause although the request had other unknown parts (with two causes, the innocent part they share was refused for 60 s).

--- a/forkseam-core/src/main/java/org/forkseam/core/crash/PoisonRequestDetector.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/crash/PoisonRequestDetector.java
@@ -1,19 +1,18 @@
 package org.forkseam.core.crash;
 
-import org.forkseam.core.util.BoundedMap;
-
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 
 /**
- * Detects poison requests, i.e. requests that crash the targets serving them.
+ * Detects poison requests, i.e. requests that crash the targets serving them, and poison parts,
+ * i.e. parts of prompts that crash the targets of every request that has them.
  *
- * <p>Counts crashes of targets by the content of the requests in flight. Most of these requests are
- * bystanders, which are answered when they are retried; the cause is never answered. A request is
- * considered poison once {@link #CRASH_THRESHOLD} targets have crashed while serving it and none
- * has answered it recently.
+ * <p>Counts crashes of targets by the fingerprints of the requests in flight. Most of these are
+ * bystanders, which are answered when they come again; the cause is never answered. A fingerprint
+ * is considered poison once {@link #CRASH_THRESHOLD} targets have crashed with it in flight and no
+ * request that has it was answered recently. Several that were in flight in the same crashes are
+ * {@link #tied}: any of them may be the cause.
  *
  * <p>Memory is bounded; the least recently used entries are evicted. Not thread-safe.
  *
@@ -23,17 +22,8 @@
     /** Number of crashes from which a request is refused. Lower values would refuse bystanders. */
     public static final int CRASH_THRESHOLD = 3;
 
-    /**
-     * Maximum number of suspects tracked, about 250 bytes each: the requests of 64 targets that
-     * crashed at full load.
-     */
-    private static final int MAX_CONTENTS = 4_096;
-
-    /**
-     * Maximum number of answered requests tracked, about 100 bytes each: those of a busy router in
-     * one minute.
-     */
-    private static final int MAX_ANSWERED = 2_048;
+    /** Number of crashes kept of a part, to tell the parts of the same requests apart. */
+    private static final int MAX_PART_CRASHES = 8;
 
     /**
      * Time for which an answered request is not suspected. Keeps frequent requests, which are in
@@ -42,8 +32,18 @@
      */
     private static final long ANSWERED_TTL_MILLIS = 10_000;
 
-    private final Map<Long, Set<Integer>> mCrashes = BoundedMap.byAccess(MAX_CONTENTS);
-    private final Map<Long, Long> mAnswered = BoundedMap.byAccess(MAX_ANSWERED);
+    /**
+     * Same for parts. Shorter, since a part that begins to crash targets was answered until then,
+     * and at the rate of all requests that share it.
+     */
+    private static final long PART_ANSWERED_TTL_MILLIS = 1_000;
+
+    /** Time for which a part that was answered is the less likely cause of a single crash. */
+    private static final long HARMLESS_TTL_MILLIS = 60_000;
+
+    private final SuspectTable mContents = new SuspectTable(CRASH_THRESHOLD, ANSWERED_TTL_MILLIS);
+    private final SuspectTable mParts =
+            new SuspectTable(MAX_PART_CRASHES, PART_ANSWERED_TTL_MILLIS);
 
     private PoisonRequestDetector() {}
 
@@ -52,6 +52,10 @@
         return new PoisonRequestDetector();
     }
 
+    private SuspectTable table(long fingerprint) {
+        return Fingerprint.isPart(fingerprint) ? mParts : mContents;
+    }
+
     /**
      * Records an event seen by this router or reported by another. Duplicate and late events are
      * ignored.
@@ -59,52 +63,92 @@
      * @return whether the event changed the state
      */
     public boolean onEvent(CrashEvent event, long nowMillis) {
-        if (event.isAnswered()) {
-            return onAnswered(event.content(), nowMillis);
-        }
-        if (wasAnsweredRecently(event.content(), nowMillis)) {
-            return false;
-        }
-        Set<Integer> crashes = mCrashes.computeIfAbsent(event.content(), c -> new HashSet<>());
-        return crashes.size() < CRASH_THRESHOLD && crashes.add(event.crashId());
+        SuspectTable t = table(event.fingerprint());
+        return event.isAnswered()
+                ? t.onAnswered(event.fingerprint(), false, nowMillis)
+                : t.onCrash(event.fingerprint(), event.crashId(), nowMillis);
+    }
+
+    /** Records an answer that this router received; returns whether there was a suspicion. */
+    public boolean onAnswered(long fingerprint, long nowMillis) {
+        return table(fingerprint).onAnswered(fingerprint, true, nowMillis);
     }
 
-    /** Records that a request was answered; returns whether it was a suspect. */
-    public boolean onAnswered(long content, long nowMillis) {
-        mAnswered.put(content, nowMillis);
-        return mCrashes.remove(content) != null;
+    /** Returns whether a request with the fingerprint was answered recently. */
+    public boolean wasAnsweredRecently(long fingerprint, long nowMillis) {
+        return table(fingerprint).wasAnswered(fingerprint, nowMillis);
     }
 
-    /** Returns whether a request was answered recently. */
-    public boolean wasAnsweredRecently(long content, long nowMillis) {
-        Long answeredAt = mAnswered.get(content);
-        return answeredAt != null && nowMillis - answeredAt < ANSWERED_TTL_MILLIS;
+    /** Returns whether there was an answer within a longer time, and no crash since. */
+    public boolean isKnownHarmless(long fingerprint, long nowMillis) {
+        return crashCount(fingerprint) == 0
+                && table(fingerprint).wasAnswered(fingerprint, HARMLESS_TTL_MILLIS, nowMillis);
     }
 
-    /** Returns the number of known crashes of targets serving a request. */
-    public int crashCount(long content) {
-        Set<Integer> crashes = mCrashes.get(content);
-        return crashes == null ? 0 : crashes.size();
+    /** Returns whether this router itself received such an answer. */
+    public boolean hasSeenAnswerRecently(long fingerprint, long nowMillis) {
+        return table(fingerprint).hasSeenAnswer(fingerprint, nowMillis);
     }
 
-    /** Returns the known crash events of a request. */
-    public List<CrashEvent> events(long content) {
-        Set<Integer> crashes = mCrashes.getOrDefault(content, Set.of());
-        return crashes.stream().map(c -> new CrashEvent(content, c)).toList();
+    /** Returns the number of known crashes of targets serving such requests. */
+    public int crashCount(long fingerprint) {
+        return crashes(fingerprint).size();
     }
 
-    /** Returns whether the crash threshold of a request is reached. */
-    public boolean isPoison(long content) {
-        return crashCount(content) >= CRASH_THRESHOLD;
+    private Set<Integer> crashes(long fingerprint) {
+        return table(fingerprint).crashes(fingerprint);
+    }
+
+    /** Returns the known crash events of a fingerprint. */
+    public List<CrashEvent> events(long fingerprint) {
+        return crashes(fingerprint).stream().map(c -> new CrashEvent(fingerprint, c)).toList();
+    }
+
+    /** Returns whether the crash threshold is reached. */
+    public boolean isPoison(long fingerprint) {
+        return crashCount(fingerprint) >= CRASH_THRESHOLD;
+    }
+
+    /**
+     * Returns whether the crash threshold is reached even without the crashes of known causes.
+     *
+     * @param knownCauses quarantined parts, of which the fingerprint may be one
+     */
+    public boolean isPoisonBesides(long fingerprint, Iterable<Long> knownCauses) {
+        Set<Integer> unexplained = new HashSet<>(crashes(fingerprint));
+        for (long cause : knownCauses) {
+            if (cause != fingerprint) {
+                unexplained.removeAll(crashes(cause));
+            }
+        }
+        return unexplained.size() >= CRASH_THRESHOLD;
+    }
+
+    /**
+     * Returns the other fingerprints that the crashes of this one speak against as much: those with
+     * {@link #CRASH_THRESHOLD} crashes in common. Two contents are never tied, as no request has
+     * both.
+     */
+    public List<Long> tied(long fingerprint) {
+        Set<Integer> crashes = crashes(fingerprint);
+        if (crashes.size() < CRASH_THRESHOLD) {
+            return List.of();
+        }
+        List<Long> tied = mParts.withCrashesIn(crashes, CRASH_THRESHOLD);
+        if (Fingerprint.isPart(fingerprint)) {
+            tied.remove(Long.valueOf(fingerprint));
+            tied.addAll(mContents.withCrashesIn(crashes, CRASH_THRESHOLD));
+        }
+        return tied;
     }
 
-    /** Removes a request that is quarantined by other means. */
-    public void forget(long content) {
-        mCrashes.remove(content);
+    /** Removes a fingerprint whose quarantine has ended. */
+    public void forget(long fingerprint) {
+        table(fingerprint).forget(fingerprint);
     }
 
-    /** Returns the number of suspected requests. */
+    /** Returns the number of suspected fingerprints. */
     public int suspectCount() {
-        return mCrashes.size();
+        return mContents.size() + mParts.size();
     }
 }
--- a/forkseam-core/src/test/java/org/forkseam/core/crash/CrashEventGossipTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/crash/CrashEventGossipTest.java
@@ -25,7 +25,8 @@
     private static final class Router {
         private final PoisonRequestDetector mDetector = PoisonRequestDetector.create();
         private final GossipQueue<CrashEvent> mExchange =
-                GossipQueue.of(CrashEvent.MAX_PER_MESSAGE, f -> mDetector.crashCount(f.content()));
+                GossipQueue.of(
+                        CrashEvent.MAX_PER_MESSAGE, f -> mDetector.crashCount(f.fingerprint()));
 
         void onEvent(CrashEvent f, long now) {
             if (mDetector.onEvent(f, now)) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -52,6 +52,7 @@
     private long mSoftwareKey;
     private long mLastReceivedAt;
     private long mHeadAt;
+    private boolean mOutlivesCrashDelay;
 
     Attempt(
             RouterContext context,
@@ -286,6 +287,29 @@
         return mHead.status().code() == HttpResponseStatus.TOO_MANY_REQUESTS.code();
     }
 
+    /** Returns whether the target answered with a success whose end cannot be due to a crash. */
+    boolean isCertainlyServed() {
+        return isSuccess() && !isEndedByClose();
+    }
+
+    /** Returns whether only the end of the connection marks the end of the response. */
+    boolean isEndedByClose() {
+        return !HttpConnection.isSelfDelimited(mHead);
+    }
+
+    /**
+     * Returns, once per attempt, whether the target has been responding for longer than a request
+     * takes to crash it.
+     */
+    boolean outlivesCrashDelay() {
+        if (mOutlivesCrashDelay
+                || respondingMillis(mContext.now()) <= CrashDetector.MAX_CRASH_DELAY_MILLIS) {
+            return false;
+        }
+        mOutlivesCrashDelay = true;
+        return true;
+    }
+
     private boolean isSuccess() {
         return mHead.status().codeClass() == HttpStatusClass.SUCCESS;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerRequest.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerRequest.java
@@ -3,9 +3,13 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 
+import org.forkseam.core.crash.RequestFingerprints;
+import org.forkseam.core.traffic.Prompt;
 import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.spi.RequestHead;
 
+import java.util.List;
+
 /**
  * A complete request from a caller. Not modified after creation.
  *
@@ -39,11 +43,17 @@
      * Returns a hash of path, query, caller key and body. Repetitions of a request under another id
      * have the same hash.
      */
-    long contentHash() {
+    private long contentHash() {
         long headHash = Hashes.mix(Hashes.of(uri), Hashes.of(head.key().orElse("")));
         return Hashes.mix(headHash, Hashes.of(body));
     }
 
+    /** Returns the fingerprints by which crashes under this request are counted. */
+    RequestFingerprints fingerprints() {
+        List<Prompt.Part> parts = head.prompt().map(Prompt::sharedParts).orElse(List.of());
+        return RequestFingerprints.of(contentHash(), parts.stream().map(Prompt.Part::id).toList());
+    }
+
     /** Returns the request id, or an empty string if there is none. */
     String id() {
         return head.requestId().orElse("");
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CrashDetector.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CrashDetector.java
@@ -1,5 +1,6 @@
 package org.forkseam.direct.flow;
 
+import org.forkseam.core.crash.RequestFingerprints;
 import org.forkseam.core.member.Target;
 import org.forkseam.core.member.TargetIncarnation;
 import org.forkseam.direct.io.ConnectionCallback;
@@ -26,9 +27,9 @@
 final class CrashDetector {
     /**
      * A connection lost later than this after the response head does not count as a crash caused by
-     * the request. Targets that a request crashed ended 46 to 95 ms after it had begun.
+     * the request. Targets that a request crashed ended 46 to 120 ms after it had begun.
      */
-    private static final long MAX_CRASH_DELAY_MILLIS = 1_000;
+    static final long MAX_CRASH_DELAY_MILLIS = 1_000;
 
     private final TargetConnections mTargetConnections;
     private final Quarantine mQuarantine;
@@ -48,12 +49,13 @@
     /**
      * Handles a connection lost during a request.
      *
-     * @param contentHash hash of the request's content
+     * @param request fingerprints of the request
      * @param respondingMillis time since the target's response head
      * @param callback runs after the probe if its result may quarantine the request, otherwise
      *     immediately
      */
-    void onConnectionLost(Target t, long contentHash, long respondingMillis, Runnable callback) {
+    void onConnectionLost(
+            Target t, RequestFingerprints request, long respondingMillis, Runnable callback) {
         if (respondingMillis > MAX_CRASH_DELAY_MILLIS) {
             callback.run();
             return;
@@ -64,8 +66,8 @@
             probe = new Probe(t);
             mProbes.put(t.incarnation(), probe);
         }
-        probe.mContentHashes.add(contentHash);
-        boolean mayQuarantine = mQuarantine.isOneCrashFromQuarantine(contentHash);
+        probe.mRequests.add(request);
+        boolean mayQuarantine = mQuarantine.isOneCrashFromQuarantine(request);
         if (mayQuarantine) {
             probe.mCallbacks.add(callback);
         }
@@ -81,7 +83,7 @@
     private final class Probe implements ConnectionCallback {
         private final Target mTarget;
         private final int mCrashId;
-        private final Set<Long> mContentHashes = new HashSet<>();
+        private final Set<RequestFingerprints> mRequests = new HashSet<>();
         private final List<Runnable> mCallbacks = new ArrayList<>();
 
         Probe(Target t) {
@@ -108,9 +110,9 @@
             Event.of("target_ended")
                     .with("target", mTarget.entry().id())
                     .with("address", mTarget.entry().address())
-                    .with("requests", mContentHashes.size())
+                    .with("requests", mRequests.size())
                     .log();
-            mContentHashes.forEach(c -> mQuarantine.onCrash(c, mCrashId));
+            mRequests.forEach(r -> mQuarantine.onCrash(r, mCrashId));
         }
 
         private void finish() {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/QuarantineCheck.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/QuarantineCheck.java
@@ -1,6 +1,13 @@
 package org.forkseam.direct.flow;
 
+import org.forkseam.core.crash.Fingerprint;
+import org.forkseam.core.crash.RequestFingerprints;
 import org.forkseam.direct.know.Quarantine;
+import org.forkseam.direct.know.Quarantine.Verdict;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
 
 /**
  * Checks one request against the quarantine for requests that crashed targets. Called before each
@@ -9,33 +16,53 @@
  */
 final class QuarantineCheck {
     private final Quarantine mQuarantine;
-    private final long mContentHash;
-    private boolean mTrialRequested;
-    private boolean mTrialGranted;
+    private final RequestFingerprints mFingerprints;
+    private final Set<Long> mRequestedTrials = new HashSet<>();
+    private final Set<Long> mGrantedTrials = new HashSet<>();
 
-    QuarantineCheck(Quarantine quarantine, long contentHash) {
+    QuarantineCheck(Quarantine quarantine, RequestFingerprints fingerprints) {
         mQuarantine = quarantine;
-        mContentHash = contentHash;
+        mFingerprints = fingerprints;
+    }
+
+    private Verdict verdict(long fingerprint) {
+        return mGrantedTrials.contains(fingerprint)
+                ? Verdict.SERVE
+                : mQuarantine.verdict(fingerprint, mFingerprints.all());
+    }
+
+    /** Returns the first fingerprint with a verdict. */
+    private Optional<Long> first(Verdict verdict) {
+        return mFingerprints.all().stream().filter(f -> verdict(f) == verdict).findFirst();
     }
 
     /** Returns whether the request may be sent to a target. */
     boolean maySend() {
-        return mTrialGranted || mQuarantine.verdict(mContentHash) == Quarantine.Verdict.SERVE;
+        for (long f : mFingerprints.all()) {
+            if (verdict(f) != Verdict.SERVE) {
+                return false;
+            }
+        }
+        return true;
     }
 
-    /** Returns whether this router may request a trial: one attempt after the quarantine period. */
+    /** Returns whether this router may request a trial, which allows one attempt. */
     boolean canRequestTrial() {
-        return !mTrialRequested && mQuarantine.verdict(mContentHash) == Quarantine.Verdict.TRY;
+        return first(Verdict.REFUSE).isEmpty()
+                && first(Verdict.TRY).filter(f -> !mRequestedTrials.contains(f)).isPresent();
     }
 
     /** Requests a trial and runs {@code callback} when the decision is known. */
     void requestTrial(Runnable callback) {
-        mTrialRequested = true;
+        long fingerprint = first(Verdict.TRY).orElseThrow();
+        mRequestedTrials.add(fingerprint);
         mQuarantine
-                .requestTrial(mContentHash)
+                .requestTrial(fingerprint)
                 .thenAccept(
                         granted -> {
-                            mTrialGranted = granted;
+                            if (granted) {
+                                mGrantedTrials.add(fingerprint);
+                            }
                             callback.run();
                         });
     }
@@ -43,19 +70,47 @@
     /**
      * Records the result of an attempt. A trial is used up only by an attempt that the target may
      * have run; others say nothing about the request.
+     *
+     * @param answered whether the target answered the request
+     * @param served whether it answered with a success whose end was marked, which a crash cannot
+     *     look like
      */
-    void onAttemptEnd(boolean mayHaveRun, boolean answered) {
-        if (mTrialGranted && mayHaveRun) {
-            mTrialGranted = false;
-            mQuarantine.onTrialEnded(mContentHash, answered);
+    void onAttemptEnd(boolean mayHaveRun, boolean answered, boolean served) {
+        if (mayHaveRun) {
+            mGrantedTrials.forEach(f -> onTrialEnd(f, answered, served));
+            mGrantedTrials.clear();
         }
         if (answered) {
-            mQuarantine.onAnswered(mContentHash);
+            mQuarantine.onAnswered(mFingerprints.content());
+        }
+        if (served) {
+            onPartsServed();
+        }
+    }
+
+    /** Ends the trial of a part only if it was served; a crash is reported by its detector. */
+    private void onTrialEnd(long fingerprint, boolean answered, boolean served) {
+        if (Fingerprint.isPart(fingerprint)) {
+            if (served) {
+                mQuarantine.onTrialEnded(fingerprint, true);
+            }
+        } else {
+            mQuarantine.onTrialEnded(fingerprint, answered);
+        }
+    }
+
+    /** Records that a target has processed the prompt and survived. */
+    void onPartsServed() {
+        for (long f : mFingerprints.all()) {
+            if (Fingerprint.isPart(f)) {
+                mQuarantine.onAnswered(f);
+            }
         }
     }
 
     /** Returns the time after which a refused caller may retry. */
     long retryAfterMillis() {
-        return mQuarantine.retryAfterMillis(mContentHash);
+        long blamed = first(Verdict.REFUSE).or(() -> first(Verdict.TRY)).orElseThrow();
+        return mQuarantine.retryAfterMillis(blamed, mFingerprints.all());
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 
+import org.forkseam.core.crash.RequestFingerprints;
 import org.forkseam.core.member.Target;
 import org.forkseam.core.outcome.SlidingWindowRetryBudget;
 import org.forkseam.core.route.Pick;
@@ -34,7 +35,7 @@
     private final RouterContext mContext;
     private final CallerRequest mRequest;
     private final ResponseSink mSink;
-    private final long mContentHash;
+    private final RequestFingerprints mFingerprints;
     private final QuarantineCheck mQuarantineCheck;
     private final RequestLogger mLogger;
     private final FinalResponse mResponse;
@@ -54,9 +55,9 @@
         mContext = context;
         mRequest = request;
         mSink = sink;
-        mContentHash = request.contentHash();
-        mQuarantineCheck = new QuarantineCheck(context.fleetState().quarantine(), mContentHash);
-        mLogger = new RequestLogger(context, request, mContentHash);
+        mFingerprints = request.fingerprints();
+        mQuarantineCheck = new QuarantineCheck(context.fleetState().quarantine(), mFingerprints);
+        mLogger = new RequestLogger(context, request, mFingerprints.content());
         mResponse = new FinalResponse(context, request, sink, this::onFinished);
         mTargetSelection = new TargetSelection(context, request);
         mFailureResponder = new FailureResponder(context, mResponse, mAttempts, mTargetSelection);
@@ -256,9 +257,15 @@
         mContext.meters().onAttempt(result.kind().name());
         result.recordOn(a.target(), mContext.errorRate(pool()), now);
         boolean answered = result.kind() == AttemptResult.Kind.ANSWERED && !a.isRateLimited();
-        mQuarantineCheck.onAttemptEnd(result.kind().mayHaveRun(), answered);
+        mQuarantineCheck.onAttemptEnd(
+                result.kind().mayHaveRun(), answered, answered && a.isCertainlyServed());
         updateLastEventId(a);
         if (result.kind() == AttemptResult.Kind.ANSWERED) {
+            if (a.isEndedByClose()) {
+                mContext.crashDetector()
+                        .onConnectionLost(
+                                a.target(), mFingerprints, a.respondingMillis(now), () -> {});
+            }
             if (!mDone) {
                 finishAnswered(a);
             }
@@ -269,7 +276,7 @@
             mContext.crashDetector()
                     .onConnectionLost(
                             a.target(),
-                            mContentHash,
+                            mFingerprints,
                             a.respondingMillis(now),
                             () -> retryOrFinish(a, result));
             return;
@@ -326,6 +333,9 @@
     public void onEvents(Attempt a, ByteBuf bytes) {
         mTargetSelection.requireSoftware(a.softwareKey());
         mResumable.ifPresent(s -> s.onEvents(a.softwareKey()));
+        if (a.outlivesCrashDelay()) {
+            mQuarantineCheck.onPartsServed();
+        }
         mSink.writeBody(bytes);
         if (!mSink.isWritable()) {
             a.setAutoRead(false);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
@@ -234,7 +234,7 @@
         }
         b.writeShort(o.crashes().size());
         for (CrashEvent c : o.crashes()) {
-            b.writeLong(c.content()).writeInt(c.crashId());
+            b.writeLong(c.fingerprint()).writeInt(c.crashId());
         }
         b.writeShort(o.leaving().size());
         o.leaving().forEach(b::writeInt);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Quarantine.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Quarantine.java
@@ -1,18 +1,24 @@
 package org.forkseam.direct.know;
 
 import org.forkseam.core.crash.CrashEvent;
+import org.forkseam.core.crash.Fingerprint;
 import org.forkseam.core.crash.PoisonRequestDetector;
 import org.forkseam.core.crash.QuarantineTerm;
+import org.forkseam.core.crash.RequestFingerprints;
 import org.forkseam.core.share.GossipQueue;
+import org.forkseam.core.share.LoadGossip;
 import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.SharedRow;
 import org.forkseam.direct.spi.SharedRows;
 
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -20,13 +26,17 @@
  * event loop.
  *
  * <p>Such a request would otherwise take down the whole pool, since clients retry it at any router
- * under a new id. Routers exchange which targets crashed under which requests, by gossip, so that
- * the number of messages grows linearly with the number of routers. A router that knows of three
- * crashes refuses the request at once and writes a shared row that outlives all routers.
+ * under a new id, or send others that have the same part in their prompts. Routers exchange which
+ * targets crashed under which fingerprints, by gossip, so that the number of messages grows
+ * linearly with the number of routers. A router that knows of three crashes refuses the fingerprint
+ * at once and writes a shared row that outlives all routers.
  *
- * <p>An answered request is released regardless of earlier crashes: copies of a harmless request
- * may have been in flight during three crashes of another cause. The release takes effect locally
- * at once, and on the other routers by messages and the row.
+ * <p>An answered fingerprint is released regardless of earlier crashes: harmless requests may have
+ * been in flight during three crashes of another cause. The release takes effect locally at once,
+ * and on the other routers by messages and the row.
+ *
+ * <p>Fingerprints that were in flight in the same three crashes are quarantined together. Requests
+ * that have all of them are refused; of those that have only some, one at a time is tried.
  *
  * @since 0.5
  */
@@ -38,24 +48,33 @@
      */
     private static final long MAX_WRITE_JITTER_MILLIS = 1_500;
 
+    /**
+     * Delay before the row of a part is written, since the row tells which parts are tied. Crashes
+     * of the parts of one request may arrive in two messages.
+     */
+    private static final long TIES_SETTLE_MILLIS = 2 * LoadGossip.PERIOD_MILLIS;
+
     private static final long SWEEP_PERIOD_MILLIS = 60_000;
 
+    /** Time after which the result of a trial is usually known. */
+    private static final long TRIAL_RESULT_MILLIS = 1_000;
+
     private final RowFollower mRowFollower;
     private final QuarantineRows mRows;
     private final SuspectRows mSuspectRows;
     private final PoisonRequestDetector mDetector = PoisonRequestDetector.create();
     private final GossipQueue<CrashEvent> mCrashGossip =
-            GossipQueue.of(CrashEvent.MAX_PER_MESSAGE, f -> mDetector.crashCount(f.content()));
+            GossipQueue.of(CrashEvent.MAX_PER_MESSAGE, e -> mDetector.crashCount(e.fingerprint()));
     private int mWriteFailures;
 
-    /** Decision on a request. */
+    /** Decision on a fingerprint of a request. */
     public enum Verdict {
         /** The request is served. */
         SERVE,
+        /** This router may ask for a single trial: the term has ended, or the cause is in doubt. */
+        TRY,
         /** The request is refused because it crashes targets. */
-        REFUSE,
-        /** The term of the request has ended: this router may ask for a single trial. */
-        TRY
+        REFUSE
     }
 
     /** Creates an empty quarantine; terms are measured on the clock of the store. */
@@ -72,89 +91,198 @@
 
     // ---------------------------------------------------------------- decisions
 
-    /** Returns the decision on a request. */
-    public Verdict verdict(long content) {
-        Optional<QuarantineTerm> term = mRows.term(content);
+    /** Returns the decision on a request that has no other fingerprint. */
+    public Verdict verdict(long fingerprint) {
+        return verdict(fingerprint, Set.of(fingerprint));
+    }
+
+    /**
+     * Returns the decision on one fingerprint of a request.
+     *
+     * @param request all fingerprints of the request
+     */
+    public Verdict verdict(long fingerprint, Set<Long> request) {
+        Optional<QuarantineTerm> term = mRows.term(fingerprint);
         if (term.isEmpty()) {
-            return mDetector.isPoison(content) ? Verdict.REFUSE : Verdict.SERVE;
+            return isDetected(fingerprint) ? Verdict.REFUSE : Verdict.SERVE;
         }
         OptionalLong now = mRowFollower.storeMillis();
-        boolean isOver = now.isPresent() && !term.get().isActive(now.getAsLong());
-        return isOver ? Verdict.TRY : Verdict.REFUSE;
+        if (now.isEmpty() || term.get().isInTrial(now.getAsLong())) {
+            return Verdict.REFUSE;
+        }
+        boolean isOver = !term.get().isActive(now.getAsLong());
+        return isOver || isCauseInDoubt(fingerprint, request) ? Verdict.TRY : Verdict.REFUSE;
+    }
+
+    /** Returns whether the fingerprint is refused as long as its term lasts. */
+    private boolean isQuarantined(long fingerprint) {
+        return mRows.term(fingerprint).isPresent() || isDetected(fingerprint);
+    }
+
+    /** Returns whether known crashes cannot be explained by parts that are already quarantined. */
+    private boolean isDetected(long fingerprint) {
+        return mDetector.isPoison(fingerprint)
+                && mDetector.isPoisonBesides(fingerprint, certainParts());
+    }
+
+    /**
+     * Returns whether a fingerprint may be quarantined only because of another one that the request
+     * does not have, and that has not been answered since.
+     */
+    private boolean isCauseInDoubt(long fingerprint, Set<Long> request) {
+        return tied(fingerprint).stream().anyMatch(t -> !request.contains(t) && isSuspect(t));
+    }
+
+    private boolean isSuspect(long fingerprint) {
+        return mRows.term(fingerprint).isPresent() || mDetector.crashCount(fingerprint) > 0;
+    }
+
+    private List<Long> certainParts() {
+        return mRows.parts().stream().filter(f -> !isCauseInDoubt(f, Set.of())).toList();
+    }
+
+    private List<Long> tied(long fingerprint) {
+        return mRows.term(fingerprint)
+                .map(QuarantineTerm::tied)
+                .orElseGet(() -> mDetector.tied(fingerprint));
     }
 
-    /** Returns the time after which a refused caller should retry, in milliseconds. */
-    public long retryAfterMillis(long content) {
+    /**
+     * Returns the time after which a refused caller should retry, in milliseconds.
+     *
+     * @param request all fingerprints of the request
+     */
+    public long retryAfterMillis(long fingerprint, Set<Long> request) {
+        return isCauseInDoubt(fingerprint, request)
+                ? TRIAL_RESULT_MILLIS
+                : retryAfterMillis(fingerprint);
+    }
+
+    /** Returns the remaining term, in milliseconds. */
+    public long retryAfterMillis(long fingerprint) {
         long now = mRowFollower.storeMillis().orElse(0);
-        QuarantineTerm term = mRows.term(content).orElse(QuarantineTerm.initial(now));
+        QuarantineTerm term =
+                mRows.term(fingerprint).orElseGet(() -> initialTerm(fingerprint, now));
         return Math.max(1, term.remainingMillis(now));
     }
 
-    /** Requests the trial of a request whose term has ended; one router at a time is granted it. */
-    public CompletableFuture<Boolean> requestTrial(long content) {
-        Optional<QuarantineTerm> term = mRows.term(content);
+    private QuarantineTerm initialTerm(long fingerprint, long now) {
+        return QuarantineTerm.initial(fingerprint, mDetector.tied(fingerprint), now);
+    }
+
+    /** Requests a trial; one router at a time is granted it. */
+    public CompletableFuture<Boolean> requestTrial(long fingerprint) {
+        Optional<QuarantineTerm> term = mRows.term(fingerprint);
         OptionalLong now = mRowFollower.storeMillis();
         if (term.isEmpty() || now.isEmpty()) {
             return CompletableFuture.completedFuture(false); // row or clock unknown
         }
         QuarantineTerm trial = term.get().withTrial(now.getAsLong(), peers().host());
-        return mRows.write(content, trial)
+        return mRows.write(fingerprint, trial)
                 .exceptionally(e -> false) // logged by the callee
                 .whenComplete(
                         (granted, e) ->
                                 Event.always("quarantine_trial")
-                                        .with("content", Hashes.toHex(content))
+                                        .with("content", Hashes.toHex(fingerprint))
                                         .with("granted", granted)
                                         .log());
     }
 
     /** Records the outcome of a trial that was granted to this router. */
-    public void onTrialEnded(long content, boolean answered) {
-        Optional<QuarantineTerm> term = mRows.term(content);
+    public void onTrialEnded(long fingerprint, boolean answered) {
+        Optional<QuarantineTerm> term = mRows.term(fingerprint);
         OptionalLong now = mRowFollower.storeMillis();
         if (term.isPresent() && now.isPresent()) {
             QuarantineTerm next =
                     answered ? QuarantineTerm.released() : term.get().doubled(now.getAsLong());
-            mRows.write(content, next); // after a failure another trial follows
+            mRows.write(fingerprint, next); // after a failure another trial follows
+        }
+    }
+
+    /**
+     * Records that a target crashed while it was processing a request of this router. If a
+     * fingerprint of the request is certainly a cause, the others are not blamed.
+     */
+    public void onCrash(RequestFingerprints request, int crash) {
+        Set<Long> certain = new LinkedHashSet<>(request.all());
+        certain.removeIf(f -> !isQuarantined(f) || isCauseInDoubt(f, Set.of()));
+        request.all().forEach(f -> endFailedTrial(f, request));
+        onCrash(certain.isEmpty() ? request.all() : certain, crash);
+    }
+
+    private void onCrash(Set<Long> fingerprints, int crash) {
+        List<Long> recorded = new ArrayList<>();
+        for (long f : fingerprints) {
+            CrashEvent event = new CrashEvent(f, crash);
+            if (recordCrash(event)) {
+                mCrashGossip.add(event);
+                recorded.add(f);
+            }
+        }
+        recorded.forEach(f -> onCrashRecorded(f, true));
+    }
+
+    /** Ends the trial of a part by this router, if there is one. */
+    private void endFailedTrial(long fingerprint, RequestFingerprints request) {
+        Optional<QuarantineTerm> trial =
+                mRows.term(fingerprint).filter(t -> t.trialHost().equals(peers().host()));
+        OptionalLong now = mRowFollower.storeMillis();
+        if (!Fingerprint.isPart(fingerprint) || trial.isEmpty() || now.isEmpty()) {
+            return;
         }
+        mRows.write(
+                fingerprint,
+                trial.get()
+                        .doubled(now.getAsLong())
+                        .withTied(alternatives(fingerprint, request, trial.get())));
     }
 
-    /** Records a crash of a target, observed by this router, while it was processing a request. */
-    public void onCrash(long content, int crash) {
-        CrashEvent event = new CrashEvent(content, crash);
-        if (recordCrash(event)) {
-            mCrashGossip.add(event);
-            onCrashRecorded(content, true);
+    /**
+     * Returns the parts that may have caused the crash of a trial instead. After a second trial,
+     * the cause is taken for certain, as requests may have any number of unknown parts.
+     */
+    private List<Long> alternatives(
+            long fingerprint, RequestFingerprints request, QuarantineTerm trial) {
+        if (!trial.isInitial(fingerprint)) {
+            return List.of();
         }
+        return request.all().stream()
+                .filter(f -> f != fingerprint && Fingerprint.isPart(f))
+                .filter(f -> !mDetector.isKnownHarmless(f, now()))
+                .toList();
     }
 
     /** Records that a target has answered a request. */
-    public void onAnswered(long content) {
-        clear(content, true);
+    public void onAnswered(long fingerprint) {
+        clear(fingerprint, true);
     }
 
     /**
      * Clears the crashes of an answered request and releases it. Announced to other routers only if
      * the request was suspect or refused.
      */
-    private void clear(long content, boolean observedHere) {
-        boolean wasSuspect = mDetector.onAnswered(content, now());
-        boolean wasRefused = mRows.term(content).isPresent();
+    private void clear(long fingerprint, boolean observedHere) {
+        boolean wasSuspect = mDetector.onAnswered(fingerprint, now());
+        boolean wasRefused = mRows.term(fingerprint).isPresent();
         if (!wasSuspect && !wasRefused) {
             return;
         }
         if (observedHere) {
-            mCrashGossip.removeIf(f -> f.content() == content);
+            mCrashGossip.removeIf(e -> e.fingerprint() == fingerprint);
         }
-        mCrashGossip.add(CrashEvent.answered(content));
+        mCrashGossip.add(CrashEvent.answered(fingerprint));
         if (wasRefused) {
-            release(content, observedHere);
+            release(fingerprint, observedHere);
         }
     }
 
     /** Returns whether one more crash leads to the refusal of a request. */
-    public boolean isOneCrashFromQuarantine(long content) {
-        return mDetector.crashCount(content) == PoisonRequestDetector.CRASH_THRESHOLD - 1;
+    public boolean isOneCrashFromQuarantine(RequestFingerprints request) {
+        return request.all().stream().anyMatch(this::isOneCrashFromQuarantine);
+    }
+
+    private boolean isOneCrashFromQuarantine(long fingerprint) {
+        return mDetector.crashCount(fingerprint) == PoisonRequestDetector.CRASH_THRESHOLD - 1;
     }
 
     /** Returns the refused requests with their remaining time in milliseconds. */
@@ -181,36 +309,43 @@
 
     /** Applies another router's crashes and answers. */
     void apply(List<CrashEvent> events) {
-        for (CrashEvent f : events) {
-            if (f.isAnswered()) {
-                clear(f.content(), false);
-            } else if (recordCrash(f)) {
-                mCrashGossip.add(f);
-                onCrashRecorded(f.content(), false);
+        List<Long> recorded = new ArrayList<>();
+        for (CrashEvent e : events) {
+            if (e.isAnswered()) {
+                clear(e.fingerprint(), false);
+            } else if (recordCrash(e)) {
+                mCrashGossip.add(e);
+                recorded.add(e.fingerprint());
+            } else if (mDetector.hasSeenAnswerRecently(e.fingerprint(), now())) {
+                mCrashGossip.add(CrashEvent.answered(e.fingerprint()));
             }
         }
+        recorded.forEach(f -> onCrashRecorded(f, false));
     }
 
     /** Records a crash and returns whether it was new. */
-    private boolean recordCrash(CrashEvent f) {
-        return mRows.term(f.content()).isEmpty() && mDetector.onEvent(f, now());
+    private boolean recordCrash(CrashEvent e) {
+        return mRows.term(e.fingerprint()).isEmpty() && mDetector.onEvent(e, now());
     }
 
-    private void onCrashRecorded(long content, boolean observedHere) {
-        if (mDetector.isPoison(content)) {
-            onQuarantined(content, observedHere);
-        } else if (observedHere && isOneCrashFromQuarantine(content)) {
-            mSuspectRows.write(content, mDetector.events(content));
+    private void onCrashRecorded(long fingerprint, boolean observedHere) {
+        if (isDetected(fingerprint)) {
+            onQuarantined(fingerprint, observedHere);
+        } else if (observedHere && isOneCrashFromQuarantine(fingerprint)) {
+            mSuspectRows.write(fingerprint, mDetector.events(fingerprint));
         }
     }
 
-    private void onQuarantined(long content, boolean observedHere) {
+    private void onQuarantined(long fingerprint, boolean observedHere) {
         Event.always("request_convicted")
-                .with("content", Hashes.toHex(content))
-                .with("crashes", mDetector.crashCount(content))
+                .with("content", Hashes.toHex(fingerprint))
+                .with("part", Fingerprint.isPart(fingerprint))
+                .with("crashes", mDetector.crashCount(fingerprint))
+                .with("tied", mDetector.tied(fingerprint).stream().map(Hashes::toHex).toList())
                 .with("saw_last", observedHere)
                 .log();
-        schedule(writeDelayMillis(observedHere), () -> writeInitialTerm(content));
+        long settle = Fingerprint.isPart(fingerprint) ? TIES_SETTLE_MILLIS : 0;
+        schedule(settle + writeDelayMillis(observedHere), () -> writeInitialTerm(fingerprint));
     }
 
     /** Returns the delay before writing a row, within which another router may have written it. */
@@ -222,13 +357,13 @@
      * Releases a request on this router and schedules the write of the row that releases it on all
      * routers.
      */
-    private void release(long content, boolean observedHere) {
+    private void release(long fingerprint, boolean observedHere) {
         Event.always("request_acquitted")
-                .with("content", Hashes.toHex(content))
+                .with("content", Hashes.toHex(fingerprint))
                 .with("saw_answer", observedHere)
                 .log();
-        mRows.releaseLocally(content);
-        schedule(writeDelayMillis(observedHere), () -> writeRelease(content));
+        mRows.releaseLocally(fingerprint);
+        schedule(writeDelayMillis(observedHere), () -> writeRelease(fingerprint));
     }
 
     // ---------------------------------------------------------------- rows
@@ -244,14 +379,16 @@
      */
     private void applySuspect(CrashEvent f) {
         if (recordCrash(f)) {
-            onCrashRecorded(f.content(), false);
+            onCrashRecorded(f.fingerprint(), false);
         }
     }
 
     private void onChange(QuarantineRows.Change c) {
         mCrashGossip.removeIf(
-                f -> f.content() == c.content() && !f.isAnswered()); // all read the row
-        mDetector.forget(c.content());
+                e -> e.fingerprint() == c.content() && !e.isAnswered()); // all read the row
+        if (mRows.term(c.content()).isEmpty()) {
+            mDetector.forget(c.content());
+        }
         Event.always("quarantine")
                 .with("content", Hashes.toHex(c.content()))
                 .with("term_ms", c.term().map(QuarantineTerm::termMillis).orElse(0L))
@@ -263,44 +400,44 @@
     }
 
     /** Writes the first term of a poison request unless another router has done so. */
-    private void writeInitialTerm(long content) {
-        if (isStopped() || !mDetector.isPoison(content)) {
+    private void writeInitialTerm(long fingerprint) {
+        if (isStopped() || mRows.term(fingerprint).isPresent() || !isDetected(fingerprint)) {
             return;
         }
         OptionalLong now = mRowFollower.storeMillis();
         if (now.isEmpty()) {
-            retryWriteInitialTerm(content);
+            retryWriteInitialTerm(fingerprint);
             return;
         }
-        mRows.write(content, QuarantineTerm.initial(now.getAsLong()))
+        mRows.write(fingerprint, initialTerm(fingerprint, now.getAsLong()))
                 .whenComplete(
                         (own, failure) -> {
                             if (failure == null) {
                                 mWriteFailures = 0;
                             } else {
-                                retryWriteInitialTerm(content);
+                                retryWriteInitialTerm(fingerprint);
                             }
                         });
     }
 
     /** Writes the release of an answered request unless another router has done so. */
-    private void writeRelease(long content) {
-        if (isStopped() || !mRows.isReleasePending(content)) {
+    private void writeRelease(long fingerprint) {
+        if (isStopped() || !mRows.isReleasePending(fingerprint)) {
             return;
         }
-        mRows.write(content, QuarantineTerm.released())
+        mRows.write(fingerprint, QuarantineTerm.released())
                 .whenComplete(
                         (own, failure) -> {
-                            if (mRows.isReleasePending(content)) {
+                            if (mRows.isReleasePending(fingerprint)) {
                                 schedule(
                                         backoffMillis(++mWriteFailures),
-                                        () -> writeRelease(content));
+                                        () -> writeRelease(fingerprint));
                             }
                         });
     }
 
-    private void retryWriteInitialTerm(long content) {
-        schedule(backoffMillis(++mWriteFailures), () -> writeInitialTerm(content));
+    private void retryWriteInitialTerm(long fingerprint) {
+        schedule(backoffMillis(++mWriteFailures), () -> writeInitialTerm(fingerprint));
     }
 
     /** Removes expired rows; only the router that reads the rows for all does so. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/QuarantineRows.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/QuarantineRows.java
@@ -1,5 +1,6 @@
 package org.forkseam.direct.know;
 
+import org.forkseam.core.crash.Fingerprint;
 import org.forkseam.core.crash.QuarantineTerm;
 import org.forkseam.core.store.StorePosition;
 import org.forkseam.core.util.BoundedMap;
@@ -65,6 +66,13 @@
         return Optional.ofNullable(mCache.get(content)).map(Row::term).filter(t -> !t.isReleased());
     }
 
+    /** Returns the quarantined prompt parts. */
+    List<Long> parts() {
+        return mCache.keySet().stream()
+                .filter(f -> Fingerprint.isPart(f) && term(f).isPresent())
+                .toList();
+    }
+
     /** Releases a request on this router until its row changes, before the release is written. */
     void releaseLocally(long content) {
         mCache.computeIfPresent(
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/QuarantineTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/QuarantineTest.java
@@ -8,6 +8,7 @@
 
 import org.forkseam.core.crash.CrashEvent;
 import org.forkseam.core.crash.QuarantineTerm;
+import org.forkseam.core.crash.RequestFingerprints;
 import org.forkseam.core.store.StorePosition;
 import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.know.Quarantine.Verdict;
@@ -168,7 +169,7 @@
         }
 
         void crash(long content, int crash) throws Exception {
-            onLoop(() -> mQuarantine.onCrash(content, crash));
+            onLoop(() -> mQuarantine.onCrash(RequestFingerprints.of(content), crash));
         }
 
         void quarantine(long content) throws Exception {
