Try every target before a request is refused because connections are refused

What callers saw: in the reported storm, requests whose first four targets had just crashed were refused (refused_unreachable) 7 to 11 ms after they came, sound ones too, while other targets were idle.

Cause: four attempts that failed before sending end a request. The limit is there for connections that fail after seconds; a refused connection costs a millisecond or two, and while most of a pool has crashed, health is not trusted and crashed targets come first.

Fix: an attempt at a target where nobody listens has a kind of its own and does not count; each target is tried once, so that the size of the pool and the deadline bound it. If nobody listens anywhere, the request is refused at once as before (no_target).

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptResult.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptResult.java
@@ -15,8 +15,10 @@
     enum Kind {
         /** A complete response arrived, with any status that is not a failure. */
         ANSWERED(true),
-        /** Nothing was sent: connecting failed. */
+        /** Nothing was sent: connecting failed, possibly after a long time. */
         UNREACHABLE(false),
+        /** Nothing was sent: the connection was refused at once. */
+        NOBODY_LISTENS(false),
         /** Nothing was sent: this router's connection limit for the target is reached. */
         NO_CONNECTION(false),
         /** Nothing was sent: the target or the request became ineligible before sending. */
@@ -47,12 +49,16 @@
 
         /** Returns whether nothing of the request was sent. */
         boolean isUnsent() {
-            return this == UNREACHABLE || this == NO_CONNECTION || this == WITHDRAWN;
+            return this == UNREACHABLE
+                    || this == NOBODY_LISTENS
+                    || this == NO_CONNECTION
+                    || this == WITHDRAWN;
         }
 
         /** Returns whether the result counts as a failure of the target. */
         boolean isFailure() {
             return this == UNREACHABLE
+                    || this == NOBODY_LISTENS
                     || this == FAILED
                     || this == BROKEN
                     || this == MALFORMED
@@ -93,7 +99,8 @@
     static AttemptResult of(ExchangeFailure failure, String detail) {
         return new AttemptResult(
                 switch (failure) {
-                    case UNREACHABLE, NOBODY_LISTENS -> Kind.UNREACHABLE;
+                    case UNREACHABLE -> Kind.UNREACHABLE;
+                    case NOBODY_LISTENS -> Kind.NOBODY_LISTENS;
                     case NO_CONNECTION_FREE -> Kind.NO_CONNECTION;
                     case MALFORMED -> Kind.MALFORMED;
                     case CLOSED, RESET -> Kind.BROKEN;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptTracker.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptTracker.java
@@ -10,7 +10,10 @@
  * attempts and the pool's retry budget. Used on the event loop.
  */
 final class AttemptTracker {
-    /** Number of attempts that failed before sending, after which the request is refused. */
+    /**
+     * Number of attempts that failed before sending, after which the request is refused. Refused
+     * connections do not count, since they cost little and each target is tried once.
+     */
     private static final int MAX_UNSENT_ATTEMPTS = 4;
 
     private int mSentCount;
@@ -49,6 +52,9 @@
      */
     boolean allowsNextAttempt(
             AttemptResult result, Route route, boolean cannotResume, BooleanSupplier budget) {
+        if (result.kind() == AttemptResult.Kind.NOBODY_LISTENS) {
+            return true;
+        }
         if (result.kind().isUnsent()) {
             return ++mUnsentCount < MAX_UNSENT_ATTEMPTS;
         }
