Log for which fingerprint, and for which prompt part, a request is refused

refused_quarantined named only the content of the request, which tells nothing when a part of its prompt is quarantined: the operator could not find the row that refuses it. The line has blamed (the row's key) and blamed_part now.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/FinalResponse.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/FinalResponse.java
@@ -74,7 +74,7 @@
 
     /** Refuses a quarantined request. */
     void refuseQuarantined(long retryAfterMillis) {
-        String reason = "targets have ended under this request";
+        String reason = "targets have ended under this request or a part of its prompt";
         respondLocally(
                 "refused_quarantined",
                 mContext.responses()
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -224,6 +224,7 @@
     /** Handles a quarantined request: refuses it or requests a trial. */
     private void refuseOrRequestTrial() {
         if (!mQuarantineCheck.canRequestTrial()) {
+            mLogger.onQuarantined(mQuarantineCheck.blamed());
             mFailureResponder.respondQuarantined(
                     mQuarantineCheck.retryAfterMillis(), mAdmission, mStreaming);
             return;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
@@ -1,5 +1,6 @@
 package org.forkseam.direct.flow;
 
+import org.forkseam.core.crash.Fingerprint;
 import org.forkseam.core.member.Target;
 import org.forkseam.core.outcome.SlidingWindowRetryBudget;
 import org.forkseam.core.route.Pick;
@@ -11,7 +12,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Logs the decisions on one request: a log line per failed attempt and one for the outcome, and
@@ -22,6 +25,7 @@
     private final CallerRequest mRequest;
     private final String mContentHash;
     private Optional<Selection> mSelection = Optional.empty();
+    private OptionalLong mBlamed = OptionalLong.empty();
 
     /**
      * A selected target and the inputs of the selection.
@@ -110,11 +114,27 @@
                 .log();
     }
 
+    /** Records for which of the request's fingerprints it is refused. */
+    void onQuarantined(long fingerprint) {
+        mBlamed = OptionalLong.of(fingerprint);
+        addNote("quarantined", Hashes.toHex(fingerprint));
+    }
+
     /** Returns the ids of the shared parts of the prompt, separated by commas. */
     private String sharedParts() {
+        return sharedPartIds().collect(Collectors.joining(","));
+    }
+
+    private Stream<String> sharedPartIds() {
         return mRequest.head().prompt().map(Prompt::sharedParts).orElse(List.of()).stream()
-                .map(Prompt.Part::id)
-                .collect(Collectors.joining(","));
+                .map(Prompt.Part::id);
+    }
+
+    private String partOf(long fingerprint) {
+        return sharedPartIds()
+                .filter(id -> Fingerprint.ofPart(id) == fingerprint)
+                .findFirst()
+                .orElse("");
     }
 
     /**
@@ -149,6 +169,7 @@
                         .with("sent", s.sent())
                         .with("took_ms", durationMillis);
         mRequest.head().resumes().ifPresent(id -> e.with("resumes", id));
+        mBlamed.ifPresent(f -> e.with("blamed", Hashes.toHex(f)).with("blamed_part", partOf(f)));
         mSelection.ifPresent(c -> addSelection(e, c, s));
         e.log();
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/QuarantineCheck.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/QuarantineCheck.java
@@ -114,9 +114,13 @@
         }
     }
 
+    /** Returns the fingerprint for which the request is refused. */
+    public long blamed() {
+        return first(Verdict.REFUSE).or(() -> first(Verdict.TRY)).orElse(mFingerprints.content());
+    }
+
     /** Returns the time after which a refused caller may retry. */
     public long retryAfterMillis() {
-        long blamed = first(Verdict.REFUSE).or(() -> first(Verdict.TRY)).orElseThrow();
-        return mQuarantine.retryAfterMillis(blamed, mFingerprints.all());
+        return mQuarantine.retryAfterMillis(blamed(), mFingerprints.all());
     }
 }
