--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/Quarantine.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/Quarantine.java
@@ -119,7 +119,7 @@
         return mRows.term(fingerprint).isPresent() || isDetected(fingerprint);
     }
 
-    /** Returns whether known crashes cannot be explained by parts that are already quarantined. */
+    /** Returns whether there are enough crashes that no quarantined part explains. */
     private boolean isDetected(long fingerprint) {
         return mDetector.isPoison(fingerprint)
                 && mDetector.isPoisonBesides(fingerprint, certainParts());
@@ -255,12 +255,13 @@
     }
 
     /**
-     * Returns the parts that may have caused the crash of a trial instead. After a second trial,
-     * the cause is taken for certain, as requests may have any number of unknown parts.
+     * Returns the parts that may have caused the crash of a trial instead, if the cause was in
+     * doubt. After a second trial it is taken for certain, as requests may have any number of
+     * unknown parts.
      */
     private List<Long> alternatives(
             long fingerprint, RequestFingerprints request, QuarantineTerm trial) {
-        if (!trial.isInitial(fingerprint)) {
+        if (!trial.isInitial(fingerprint) || !isCauseInDoubt(fingerprint, Set.of())) {
             return List.of();
         }
         return request.all().stream()
@@ -312,7 +313,7 @@
         return mRows.size();
     }
 
-    /** Returns the number of requests with at least one crash, without the refused ones. */
+    /** Returns the number of fingerprints with a known crash, refused ones included. */
     int suspects() {
         return mDetector.suspectCount();
     }
