Clear parts by an unframed response if its target still listens

What callers saw: nothing yet; found by reading the change again.

Cause: such a response was taken for no proof, since a crash can look like its end. The look at the target that follows it tells: if it listens, it has survived the request. A response that went on for longer than a request takes to crash its target clears at once. Requests without shared parts are not followed by a look any more.

--- a/forkseam-core/src/main/java/org/forkseam/core/crash/RequestFingerprints.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/crash/RequestFingerprints.java
@@ -34,6 +34,11 @@
         return new RequestFingerprints(content, Collections.unmodifiableSet(all));
     }
 
+    /** Returns whether the request has a prompt with shared parts. */
+    public boolean hasParts() {
+        return all.size() > 1;
+    }
+
     /** Returns whether the request has a part or content with this fingerprint. */
     public boolean contains(long fingerprint) {
         return all.contains(fingerprint);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -289,12 +289,12 @@
 
     /** Returns whether the target answered with a success whose end cannot be due to a crash. */
     boolean isCertainlyServed() {
-        return isSuccess() && !isEndedByClose();
+        return isSuccess() && HttpConnection.isSelfDelimited(mHead);
     }
 
-    /** Returns whether only the end of the connection marks the end of the response. */
-    boolean isEndedByClose() {
-        return !HttpConnection.isSelfDelimited(mHead);
+    /** Returns whether the end of the connection alone marked the end of a success. */
+    boolean isServedUntilClose() {
+        return isSuccess() && !HttpConnection.isSelfDelimited(mHead);
     }
 
     /**
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CrashDetector.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CrashDetector.java
@@ -60,40 +60,67 @@
             callback.run();
             return;
         }
-        Probe probe = mProbes.get(t.incarnation());
-        boolean isNew = probe == null;
-        if (isNew) {
-            probe = new Probe(t);
-            mProbes.put(t.incarnation(), probe);
-        }
-        probe.mRequests.add(request);
         boolean mayQuarantine = mQuarantine.isOneCrashFromQuarantine(request);
+        Probe probe = probe(t);
+        probe.mRequests.add(request);
         if (mayQuarantine) {
             probe.mCallbacks.add(callback);
         }
-        if (isNew) {
-            mTargetConnections.pool(t).openReplacement(probe);
-        }
+        probe.start();
         if (!mayQuarantine) {
             callback.run();
         }
     }
 
+    /**
+     * Handles a response that ended with its connection, which a crash can look like.
+     *
+     * @param onAlive runs if the target still listens, and if it has been responding for longer
+     *     than a request takes to crash it
+     */
+    void onResponseEndedByClose(
+            Target t, RequestFingerprints request, long respondingMillis, Runnable onAlive) {
+        if (respondingMillis > MAX_CRASH_DELAY_MILLIS) {
+            onAlive.run();
+            return;
+        }
+        Probe probe = probe(t);
+        probe.mRequests.add(request);
+        probe.mOnAlive.add(onAlive);
+        probe.start();
+    }
+
+    /** Returns the pending probe of a target, or a new one. */
+    private Probe probe(Target t) {
+        return mProbes.computeIfAbsent(t.incarnation(), i -> new Probe(t));
+    }
+
     /** A connection attempt that determines whether a target still listens. */
     private final class Probe implements ConnectionCallback {
         private final Target mTarget;
         private final int mCrashId;
         private final Set<RequestFingerprints> mRequests = new HashSet<>();
         private final List<Runnable> mCallbacks = new ArrayList<>();
+        private final List<Runnable> mOnAlive = new ArrayList<>();
+        private boolean mStarted;
 
         Probe(Target t) {
             mTarget = t;
             mCrashId = t.shortHash();
         }
 
+        /** Opens the connection unless that is under way. */
+        void start() {
+            if (!mStarted) {
+                mStarted = true;
+                mTargetConnections.pool(mTarget).openReplacement(this);
+            }
+        }
+
         @Override
         public void onConnection(HttpConnection c) {
             c.release();
+            mOnAlive.forEach(Runnable::run);
             finish();
         }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -263,10 +263,13 @@
                 result.kind().mayHaveRun(), answered, answered && a.isCertainlyServed());
         updateLastEventId(a);
         if (result.kind() == AttemptResult.Kind.ANSWERED) {
-            if (a.isEndedByClose()) {
+            if (a.isServedUntilClose() && mFingerprints.hasParts()) {
                 mContext.crashDetector()
-                        .onConnectionLost(
-                                a.target(), mFingerprints, a.respondingMillis(now), () -> {});
+                        .onResponseEndedByClose(
+                                a.target(),
+                                mFingerprints,
+                                a.respondingMillis(now),
+                                mQuarantineCheck::onPartsServed);
             }
             if (!mDone) {
                 finishAnswered(a);
