Remove measured figures and an unused method, and say what answers of other routers do

Reading the change again: a comment named the times of the crashes that were seen, one restated the suspicion, three said too little. No change of logic; an unused method of a test class goes.

--- a/forkseam-core/src/main/java/org/forkseam/core/crash/PoisonRequestDetector.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/crash/PoisonRequestDetector.java
@@ -50,7 +50,7 @@
      */
     private static final long PART_ANSWERED_TTL_MILLIS = 1_000;
 
-    /** Time for which a part that was answered is the less likely cause of a single crash. */
+    /** Time for which an answered part is not considered an alternative cause of a failed trial. */
     private static final long HARMLESS_TTL_MILLIS = 60_000;
 
     private final SuspectTable mContents =
@@ -142,8 +142,8 @@
     }
 
     /**
-     * Returns the other parts that the crashes of a part speak against as much: those with {@link
-     * #TIE_THRESHOLD} crashes in common.
+     * Returns the other parts that may have caused the crashes of a part: those with at least
+     * {@link #TIE_THRESHOLD} of these crashes.
      */
     public List<Long> tied(long fingerprint) {
         return Fingerprint.isPart(fingerprint)
--- a/forkseam-core/src/main/java/org/forkseam/core/crash/QuarantineTerm.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/crash/QuarantineTerm.java
@@ -106,7 +106,7 @@
         return new QuarantineTerm(nowMillis + millis, termMillis, host, tied);
     }
 
-    /** Returns the next term after a trial crashed a target, which proves the suspicion. */
+    /** Returns the next term after a trial crashed a target. */
     public QuarantineTerm doubled(long nowMillis) {
         return ofLength(
                 Math.min(MAX_TERM_MILLIS, Math.max(INITIAL_PART_TERM_MILLIS, 2 * termMillis)),
--- a/forkseam-core/src/main/java/org/forkseam/core/crash/SuspectTable.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/crash/SuspectTable.java
@@ -79,7 +79,12 @@
         return onAnswered(fingerprint, new Answer(now, now));
     }
 
-    /** Records an answer of some time ago, unless that is too long; returns the same. */
+    /**
+     * Records an answer that another router received, unless it is older than the TTL.
+     *
+     * @param at time of the answer
+     * @return whether it ended a suspicion
+     */
     boolean onAnsweredElsewhere(long fingerprint, long at, long now) {
         return now - at < mAnsweredTtlMillis && onAnswered(fingerprint, new Answer(at, NEVER));
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CrashDetector.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CrashDetector.java
@@ -27,7 +27,7 @@
 final class CrashDetector {
     /**
      * A connection lost later than this after the response head does not count as a crash caused by
-     * the request. Targets that a request crashed ended 46 to 120 ms after it had begun.
+     * the request.
      */
     static final long MAX_CRASH_DELAY_MILLIS = 1_000;
 
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/SimulatedFleet.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/SimulatedFleet.java
@@ -19,7 +19,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * Simulates, in virtual time, the quarantines of many routers in front of targets that crash under
@@ -318,7 +318,7 @@
     }
 
     /** Returns the share of requests served at the first attempt, of those that pass the filter. */
-    double servedShare(java.util.function.Predicate<Request> filter) {
+    double servedShare(Predicate<Request> filter) {
         List<Request> some = mRequests.stream().filter(filter).toList();
         double served = some.stream().filter(Request::servedAtFirstAttempt).count();
         return some.isEmpty() ? 1 : served / some.size();
@@ -336,8 +336,4 @@
     int storeWrites() {
         return mRows.writes();
     }
-
-    void forEachRow(Consumer<SharedRow> action) {
-        mRows.all().values().forEach(action);
-    }
 }
