--- a/forkseam-core/src/main/java/org/forkseam/core/traffic/ConfigFingerprint.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/traffic/ConfigFingerprint.java
@@ -66,7 +66,9 @@
                         + '|'
                         + p.coldStart().millis()
                         + '|'
-                        + p.coldStart().perSecond());
+                        + p.coldStart().perSecond()
+                        + '|'
+                        + p.cacheTokensPerSlot());
     }
 
     private static long of(String key, Team t) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/RouterSettings.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/RouterSettings.java
@@ -55,6 +55,7 @@
      * @param maxLoadRatio maximum load of a target as a multiple of its pool's mean
      * @param coldOvershoot maximum requests per second to a cold target, as a multiple of its
      *     capacity
+     * @param contended whether callers of all pools may ask for more than targets can serve
      */
     public record Bounds(
             long shutdownMillis,
@@ -63,5 +64,6 @@
             double retryAllowance,
             long retryWindowMillis,
             double maxLoadRatio,
-            double coldOvershoot) {}
+            double coldOvershoot,
+            boolean contended) {}
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -6,6 +6,7 @@
 import org.forkseam.core.route.CandidateFilter;
 import org.forkseam.core.route.RegionFilter;
 import org.forkseam.core.route.TargetPicker;
+import org.forkseam.core.traffic.Pool;
 import org.forkseam.core.util.Clock;
 import org.forkseam.core.util.DecisionLog;
 import org.forkseam.direct.io.ReadBarrier;
@@ -38,6 +39,7 @@
     private final Set<RequestFlow> mActiveRequests = new LinkedHashSet<>();
     private final Set<CallerConnection> mConnections = new LinkedHashSet<>();
     private final DecisionLog mDecisions = DecisionLog.of(DecisionLog.DEFAULT_SIZE);
+    private boolean mContended;
     private boolean mDraining;
 
     /**
@@ -176,6 +178,16 @@
         return mConnections;
     }
 
+    void setContended(boolean contended) {
+        mContended = contended;
+    }
+
+    /** Returns whether a pool's callers may ask for more than its targets can serve. */
+    boolean isContended(String pool) {
+        return mContended
+                || mFleetState.config().pool(pool).filter(Pool::isMemoryConstrained).isPresent();
+    }
+
     boolean isDraining() {
         return mDraining;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -106,6 +106,7 @@
                                 new ArrivalTracker(clock, p.listener().openedMillis(clock)),
                                 loopScheduler(loop),
                                 ReadBarrier.of(loop)));
+        mContext.setContended(mBounds.contended());
         mServer = new CallerServer(loop, mContext);
     }
 
@@ -203,6 +204,7 @@
                             mContext.selectors().withEnginePicker(homePicker(bounds)));
                     mContext.coldStartLimiter().setOvershoot(bounds.coldOvershoot());
                     mContext.retryBudgets().setBounds(retryBounds(bounds));
+                    mContext.setContended(bounds.contended());
                 });
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigCodec.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigCodec.java
@@ -128,6 +128,7 @@
         StringCodec.write(b, p.name());
         b.writeInt(p.maxConnections()).writeBoolean(p.engine());
         b.writeLong(p.coldStart().millis()).writeDouble(p.coldStart().perSecond());
+        b.writeLong(p.cacheTokensPerSlot());
     }
 
     private static Pool readPool(ByteBuf b) {
@@ -135,7 +136,8 @@
                 StringCodec.read(b),
                 b.readInt(),
                 b.readBoolean(),
-                new ColdStart(b.readLong(), b.readDouble()));
+                new ColdStart(b.readLong(), b.readDouble()),
+                b.readLong());
     }
 
     private static void writeTeam(ByteBuf b, String key, Team t) {
