Apply the timeouts of AttemptPatience to contended pools

Cause: RequestFlow abandoned attempts after a fixed share of the objective also while the pool was full. Ruled out: a timeout in StallDetector for all pools, which would change deployments that do not ask for it; another kind of result, since an abandoned attempt may have run as before. Change: StallCheck takes AttemptPatience for contended pools until a stream starts, StallDetector otherwise; the fleet's retry budget holds as before, and only repeatable requests are sent twice. Counters of second attempts by reason and of those withheld, attempt_patience in the dump, timeout_ms in attempt_ended lines.

--- a/forkseam-core/src/main/java/org/forkseam/core/outcome/AttemptPatience.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/outcome/AttemptPatience.java
@@ -28,7 +28,7 @@
     private static final double MIN_LATENCY_SHARE = 0.6;
 
     /** A target that sends nothing on any connection for this long is considered stopped. */
-    private static final long TARGET_SILENT_MILLIS = 600;
+    public static final long TARGET_SILENT_MILLIS = 600;
 
     private static final double USUAL_QUANTILE = 0.9;
 
--- a/forkseam-core/src/main/java/org/forkseam/core/outcome/AttemptState.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/outcome/AttemptState.java
@@ -29,6 +29,11 @@
         /** Queue of a target that reports no load. */
         public static final TargetQueue UNKNOWN = new TargetQueue(0, 1, 1.0, Long.MAX_VALUE);
 
+        /** Returns the queue with at least this number of waiting requests. */
+        public TargetQueue withAtLeast(int minWaiting) {
+            return new TargetQueue(Math.max(waiting, minWaiting), slots, slowdown, ageMillis);
+        }
+
         /** Returns whether requests were waiting. */
         public boolean isReported() {
             return waiting > 0;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -120,6 +120,11 @@
         return mSplitter;
     }
 
+    /** Returns the time since the request was sent, or 0 before. */
+    long sentMillis(long now) {
+        return isSent() ? now - mSentAt : 0;
+    }
+
     /** Returns how long the target has sent nothing for this request. */
     long silentMillis(long now) {
         return isSent() ? now - Math.max(mSentAt, mLastReceivedAt) : 0;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -42,6 +42,7 @@
     private final FinalResponse mResponse;
     private final long mReadAt;
     private final TargetSelection mTargetSelection;
+    private final StallCheck mStallCheck;
     private final AttemptTracker mAttempts = new AttemptTracker();
     private final FailureResponder mFailureResponder;
     private TrafficConfig mConfig;
@@ -61,6 +62,7 @@
         mLogger = new RequestLogger(context, request, mFingerprints.content());
         mResponse = new FinalResponse(context, request, sink, this::onFinished);
         mTargetSelection = new TargetSelection(context, request);
+        mStallCheck = new StallCheck(context, mTargetSelection);
         mFailureResponder = new FailureResponder(context, mResponse, mAttempts, mTargetSelection);
         mReadAt = context.now();
     }
@@ -124,6 +126,7 @@
     @Override
     public void dispatch() {
         mContext.retryBudgets().pool(pool()).onRequest(mContext.now());
+        mContext.attemptPatience(pool()).ifPresent(p -> p.onRequest(mContext.now()));
         mContext.fleetState().shardTables().onRequest(pool());
         if (mResumable.filter(ResumableStream::isResumed).isPresent()) {
             mResumable.get().findOrigin(this::onOrigin);
@@ -195,6 +198,7 @@
                         route().kind().isStream(),
                         () -> requestFor(t),
                         this);
+        mStallCheck.onAttemptStart(t);
         mAttempt.start(mAdmission.maxIdleMillis());
     }
 
@@ -294,7 +298,8 @@
         if (mDone) {
             return;
         }
-        mLogger.onAttemptEnd(a, result, mAttempts.sentCount());
+        mLogger.onAttemptEnd(
+                a, result, mAttempts.sentCount(), mStallCheck.timeoutMillis(a, mAdmission));
         if (mayRetry(result, mContext.now())) {
             startAttempt();
             return;
@@ -326,6 +331,7 @@
 
     @Override
     public void onStreamStarted(Attempt a) {
+        mStallCheck.onResponse(a, mAdmission);
         if (mStreaming) {
             return; // a resumed stream keeps the head from its first target
         }
@@ -409,8 +415,7 @@
         if (!mAttempts.allowsRetry(route())) {
             return false;
         }
-        return StallDetector.isStalled(
-                route(), a.silentMillis(readUntil), a.target().silentMillis(readUntil), mStreaming);
+        return mStallCheck.isStalled(a, mAdmission, mStreaming, readUntil);
     }
 
     private boolean canReplaceAttempt() {
@@ -422,6 +427,7 @@
 
     private void replaceStalledAttempt(long readUntil) {
         Attempt a = mAttempt;
+        mStallCheck.onAbandoned(mAdmission);
         a.cancel();
         onAttemptEnded(
                 a,
@@ -456,6 +462,7 @@
         if (route().kind().isStream() && mStreaming) {
             mResponse.completeStream();
         } else {
+            mStallCheck.onResponse(a, mAdmission);
             mResponse.forward(a);
         }
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
@@ -91,15 +91,21 @@
         mContext.meters().onHeldForTarget();
     }
 
-    void onAttemptEnd(Attempt a, AttemptResult result, int sent) {
+    /**
+     * Logs an attempt without a final response.
+     *
+     * @param sent number of attempts in which the request was sent
+     * @param timeoutMillis time without data allowed to the attempt; empty if it is fixed
+     */
+    void onAttemptEnd(Attempt a, AttemptResult result, int sent, OptionalLong timeoutMillis) {
         addNote(
                 "attempt ended "
                         + result.kind()
                         + (result.kind().mayHaveRun() ? ", may have run: " : ", not run: ")
                         + result.detail(),
                 a.target().entry().id());
-        Event.of("attempt_ended")
-                .with("request", mRequest.id())
+        Event e = Event.of("attempt_ended");
+        e.with("request", mRequest.id())
                 .with("content", mContentHash)
                 .with("parts", sharedParts())
                 .with("target", a.target().entry().id())
@@ -110,8 +116,9 @@
                 .with("detail", result.detail())
                 .with("sent", sent)
                 .with("age_ms", a.ageMillis(now()))
-                .with("target_share", a.target().health().trafficShare(now()))
-                .log();
+                .with("target_share", a.target().health().trafficShare(now()));
+        timeoutMillis.ifPresent(ms -> e.with("timeout_ms", ms));
+        e.log();
     }
 
     /** Records for which of the request's fingerprints it is refused. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestMeters.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestMeters.java
@@ -41,6 +41,8 @@
     private final Map<String, Counter> mAttempts = new HashMap<>();
     private final Map<String, Counter> mRetries = new HashMap<>();
     private final Map<String, Counter> mStreamsResumed = new HashMap<>();
+    private final Map<String, Counter> mSecondAttempts = new HashMap<>();
+    private final Map<String, Counter> mSecondAttemptsWithheld = new HashMap<>();
     private final LatencyHistogram mFirstByte = new LatencyHistogram();
     private final LatencyHistogram mTotal = new LatencyHistogram();
     private Optional<MeterRegistry> mRegistry = Optional.empty();
@@ -53,6 +55,10 @@
         mRetries.forEach((k, c) -> c.register("forkseam.retries", "budget", k, registry));
         mStreamsResumed.forEach(
                 (k, c) -> c.register("forkseam.streams.resumed", "origin", k, registry));
+        mSecondAttempts.forEach(
+                (k, c) -> c.register("forkseam.second_attempts", "reason", k, registry));
+        mSecondAttemptsWithheld.forEach(
+                (k, c) -> c.register("forkseam.second_attempts.withheld", "reason", k, registry));
         mFirstByte.bind(
                 registry, "forkseam.first_byte", "from a request to the first byte of its answer");
         mTotal.bind(registry, "forkseam.request", "from a request to the end of its answer");
@@ -85,6 +91,16 @@
         count(mRetries, "forkseam.retries", "budget", allowed ? "taken" : "denied");
     }
 
+    /** Counts a second attempt that was made because of missing data. */
+    void onSecondAttempt(String reason) {
+        count(mSecondAttempts, "forkseam.second_attempts", "reason", reason);
+    }
+
+    /** Counts an attempt that continues beyond its timeout. */
+    void onSecondAttemptWithheld(String reason) {
+        count(mSecondAttemptsWithheld, "forkseam.second_attempts.withheld", "reason", reason);
+    }
+
     /** Counts a stream that a caller resumes, by how its origin was found. */
     void onStreamResumed(String origin) {
         count(mStreamsResumed, "forkseam.streams.resumed", "origin", origin);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -2,6 +2,7 @@
 
 import org.forkseam.core.admit.ColdStartLimiter;
 import org.forkseam.core.member.ErrorRate;
+import org.forkseam.core.outcome.AttemptPatience;
 import org.forkseam.core.outcome.RetryDelayEstimator;
 import org.forkseam.core.route.CandidateFilter;
 import org.forkseam.core.route.RegionFilter;
@@ -16,7 +17,9 @@
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 
 /** State shared by all requests of a router. Used on the event loop. */
 final class RouterContext {
@@ -36,6 +39,7 @@
     private final EventLoopLag mLoopLag;
     private final Map<String, RetryDelayEstimator> mRetryDelays = new HashMap<>();
     private final Map<String, ErrorRate> mErrorRates = new HashMap<>();
+    private final Map<String, AttemptPatience> mAttemptPatience = new HashMap<>();
     private final Set<RequestFlow> mActiveRequests = new LinkedHashSet<>();
     private final Set<CallerConnection> mConnections = new LinkedHashSet<>();
     private final DecisionLog mDecisions = DecisionLog.of(DecisionLog.DEFAULT_SIZE);
@@ -118,6 +122,20 @@
         return mErrorRates.computeIfAbsent(pool, p -> new ErrorRate());
     }
 
+    /** Returns the rules for second attempts in a contended pool; empty for other pools. */
+    Optional<AttemptPatience> attemptPatience(String pool) {
+        return isContended(pool)
+                ? Optional.of(mAttemptPatience.computeIfAbsent(pool, p -> AttemptPatience.create()))
+                : Optional.empty();
+    }
+
+    /** Returns the state of second attempts in each contended pool, for the state dump. */
+    Map<String, AttemptPatience.Snapshot> attemptPatienceSnapshots() {
+        Map<String, AttemptPatience.Snapshot> snapshots = new TreeMap<>();
+        mAttemptPatience.forEach((pool, p) -> snapshots.put(pool, p.snapshot(now())));
+        return snapshots;
+    }
+
     ReadBarrier readBarrier() {
         return mReadBarrier;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -237,6 +237,7 @@
         m.put("leaving", mContext.isDraining());
         m.put("retry_budgets", mContext.retryBudgets().usage(mContext.now()));
         m.put("retry_budget_routers", mContext.retryBudgets().routerCount().orElse(0));
+        m.put("attempt_patience", mContext.attemptPatienceSnapshots());
         m.put("targets", mFleetState.targets().all().stream().map(this::dump).toList());
         return m;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetSelection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetSelection.java
@@ -75,6 +75,23 @@
                 .anyMatch(t -> t.acceptsRequests(now) && !mTried.contains(t.entry().id()));
     }
 
+    /** Returns whether a healthy target that the request was not yet sent to has a free slot. */
+    boolean hasUntriedTargetWithRoom(Admission admission) {
+        long now = mContext.now();
+        return allowedTargets(admission).stream()
+                .anyMatch(t -> hasRoom(t, now) && !mTried.contains(t.entry().id()));
+    }
+
+    private static boolean hasRoom(Target t, long now) {
+        int slots = t.entry().slots();
+        boolean free = slots == 0 || t.inFlight() + t.othersInFlight(now) < slots;
+        return free
+                && t.acceptsRequests(now)
+                && !t.isFull(now)
+                && !t.isSilent(now)
+                && t.health().trafficShare(now) >= 1;
+    }
+
     /** Selects a target that the request was not yet sent to. */
     Optional<Pick> selectNext(Admission admission) {
         List<Target> all = allowedTargets(admission);
