Keep targets' reported queue, slots and slowdown

Cause: of a load report only the sum of running and waiting requests was kept; every target was assumed to be equally fast. Ruled out: an exponential average of the slowdown. Change: Target keeps waiting, slots and the slowdown factor. The factor is 1 if unknown or older than 600 ms, after which slowness has moved; waiting expires with the load (1.5 s). Nothing decides on them yet.

--- a/forkseam-core/src/main/java/org/forkseam/core/load/ReportedLoad.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/load/ReportedLoad.java
@@ -13,6 +13,11 @@
  * @since 0.8
  */
 public record ReportedLoad(int running, int waiting, int slots, OptionalInt slowdownPercent) {
+    /** Returns the report of a target that tells only its number of requests. */
+    public static ReportedLoad ofTotal(int total) {
+        return new ReportedLoad(total, 0, 0, OptionalInt.empty());
+    }
+
     /** Returns the number of requests at the target. */
     public int total() {
         return running + waiting;
--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -1,5 +1,7 @@
 package org.forkseam.core.member;
 
+import org.forkseam.core.load.ReportedLoad;
+import org.forkseam.core.load.SlowdownEstimate;
 import org.forkseam.core.util.Hashes;
 
 /**
@@ -29,7 +31,9 @@
     private long mSoftwareKey;
     private int mInFlight;
     private int mOthersInFlight;
-    private int mReportedLoad;
+    private final SlowdownEstimate mSlowdown = SlowdownEstimate.create();
+    private ReportedLoad mLastReport = ReportedLoad.ofTotal(0);
+    private int mReportedSlots;
     private long mLoadReportedAt = NEVER;
     private long mLastReceivedAt;
     private long mBusySince;
@@ -213,9 +217,18 @@
 
     /** Records the total load reported by the target, running and queued requests. */
     public void onLoadReported(int totalLoad, long nowMillis) {
-        mReportedLoad = totalLoad;
-        mOthersInFlight = Math.max(0, totalLoad - mInFlight);
+        onLoadReported(ReportedLoad.ofTotal(totalLoad), nowMillis);
+    }
+
+    /** Records the load that the target reported. */
+    public void onLoadReported(ReportedLoad report, long nowMillis) {
+        mLastReport = report;
+        mOthersInFlight = Math.max(0, report.total() - mInFlight);
         mLoadReportedAt = nowMillis;
+        if (report.slots() > 0) {
+            mReportedSlots = report.slots(); // reports relayed by other routers have no slots
+        }
+        report.slowdownPercent().ifPresent(p -> mSlowdown.onReported(p, nowMillis));
     }
 
     /**
@@ -223,14 +236,46 @@
      * known.
      */
     public void onLoadRelayed(int totalLoad, long reportedAtMillis) {
+        onLoadRelayed(ReportedLoad.ofTotal(totalLoad), reportedAtMillis);
+    }
+
+    /**
+     * Records the load that the target reported to another router, unless a newer report is known.
+     */
+    public void onLoadRelayed(ReportedLoad report, long reportedAtMillis) {
         if (reportedAtMillis > mLoadReportedAt) {
-            onLoadReported(totalLoad, reportedAtMillis);
+            onLoadReported(report, reportedAtMillis);
         }
     }
 
     /** Returns the last total load reported to any router. */
     public int reportedLoad() {
-        return mReportedLoad;
+        return mLastReport.total();
+    }
+
+    /** Returns the last load reported to any router, regardless of its age; 0 before the first. */
+    public ReportedLoad lastReport() {
+        return mLastReport;
+    }
+
+    /** Returns the last reported number of slots; 0 if not reported. */
+    public int reportedSlots() {
+        return mReportedSlots;
+    }
+
+    /**
+     * Returns the number of requests in the target's queue, from all routers; 0 without a recent
+     * load report.
+     */
+    public int waiting(long nowMillis) {
+        return hasRecentLoadReport(nowMillis) ? mLastReport.waiting() : 0;
+    }
+
+    /**
+     * Returns by which factor work currently takes longer at the target than usual; 1 if unknown.
+     */
+    public double slowdown(long nowMillis) {
+        return mSlowdown.factor(nowMillis);
     }
 
     /** Records that the target refused a request because it was full. */
@@ -252,7 +297,11 @@
      * Returns the number of requests in flight from other routers; 0 without a recent load report.
      */
     public int othersInFlight(long nowMillis) {
-        return nowMillis - mLoadReportedAt > LOAD_REPORT_TTL_MILLIS ? 0 : mOthersInFlight;
+        return hasRecentLoadReport(nowMillis) ? mOthersInFlight : 0;
+    }
+
+    private boolean hasRecentLoadReport(long nowMillis) {
+        return nowMillis - mLoadReportedAt <= LOAD_REPORT_TTL_MILLIS;
     }
 
     /** Returns the age of the last load report in milliseconds, or -1 if there is none. */
