--- a/forkseam-core/src/main/java/org/forkseam/core/route/PromptHolderIndex.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/PromptHolderIndex.java
@@ -48,6 +48,16 @@
         return previous == null || nowMillis - previous >= HOLDER_TTL_MILLIS;
     }
 
+    /** Returns whether a target is known to have a key's prompt in its cache. */
+    public boolean isHolder(long key, TargetIncarnation target, long nowMillis) {
+        BoundedMap<TargetIncarnation, Long> holders = mHoldersByKey.get(key);
+        return holders != null && isCurrent(holders.get(target), nowMillis);
+    }
+
+    private static boolean isCurrent(Long answeredAt, long nowMillis) {
+        return answeredAt != null && nowMillis - answeredAt < HOLDER_TTL_MILLIS;
+    }
+
     /**
      * Returns the target from which to copy a prompt, or empty if the chosen target is likely to
      * have it.
@@ -62,8 +72,7 @@
             long nowMillis) {
         BoundedMap<TargetIncarnation, Long> holders = mHoldersByKey.get(key);
         if (holders != null) {
-            Long at = holders.get(chosen.incarnation());
-            if (at != null && nowMillis - at < HOLDER_TTL_MILLIS) {
+            if (isCurrent(holders.get(chosen.incarnation()), nowMillis)) {
                 return Optional.empty();
             }
             Optional<Target> newest = newestHolder(holders, chosen, directory, nowMillis);
--- a/forkseam-core/src/test/java/org/forkseam/core/route/PromptHolderIndexTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/PromptHolderIndexTest.java
@@ -50,6 +50,17 @@
         assertThat(source("a", 100, "b", "a")).isEqualTo(Optional.empty());
     }
 
+    /** Guards against counting a prompt as cached by a target that was restarted or is idle. */
+    @Test
+    void holderIsKnownUntilItsEntryExpires() {
+        mIndex.onAnswered(KEY, start("a"), 0);
+        assertThat(mIndex.isHolder(KEY, start("a"), 59_999)).isTrue();
+        assertThat(mIndex.isHolder(KEY, start("a"), 60_000)).isFalse();
+        assertThat(mIndex.isHolder(KEY, start("b"), 100)).isFalse();
+        assertThat(mIndex.isHolder(KEY, new TargetIncarnation("a", 1), 100)).isFalse();
+        assertThat(mIndex.isHolder(KEY + 1, start("a"), 100)).isFalse();
+    }
+
     @Test
     void theNewestKnownHolderIsTheSource() {
         mIndex.onAnswered(KEY, start("a"), 10);
