Read the reported queue, slots and slowdown of targets

Cause: Server-Load was reduced to the sum of its first two figures; its fourth was not read, and malformed values went unnoticed. Ruled out: counting in the codec, which is stateless and does not know the target. A log line for each malformed report: a faulty target sends one with each response and would use up the log's 600 lines a second. Change: ServerLoadHeader parses and checks all four figures. A malformed slowdown leaves the first three in use; any other malformed figure makes the report unusable, also slots, which were ignored before. LoadReports records the load, counts forkseam.load.malformed and logs load_malformed at most once a second. The dump has waiting and slowdown of each target and prefill_rates of pools, the line of an answer the slowdown of its target when it was selected. The first events of a request's first attempt are samples of the prefill rate, with the unshared tokens, if the target is known to hold the shared ones. Tests: FormatsTest compares the total of the typed load; its cases are unchanged. Nothing but logs, dumps and metrics reads the new values.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -125,6 +125,11 @@
         return isSent() ? now - Math.max(mSentAt, mLastReceivedAt) : 0;
     }
 
+    /** Returns the time since the request was sent, or 0 before that. */
+    long sinceSentMillis(long now) {
+        return isSent() ? now - mSentAt : 0;
+    }
+
     /** Returns the time since the response head arrived, or 0 before it. */
     long respondingMillis(long now) {
         return mHeadAt == 0 ? 0 : now - mHeadAt;
@@ -222,7 +227,7 @@
         mHeadAt = mContext.now();
         mHead = head;
         mContext.fleetState().signals().onAnswer(mTarget, mDecodedHead);
-        mDecodedHead.load().ifPresent(l -> mTarget.onLoadReported(l, mContext.now()));
+        mContext.loadReports().onHead(mTarget, mDecodedHead);
         mDecodedHead
                 .keepAliveMillis()
                 .ifPresent(k -> mConnection.limitIdleMillis(k - idleMarginMillis(k)));
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -48,6 +48,7 @@
     private Admission mAdmission;
     private Attempt mAttempt;
     private boolean mStreaming;
+    private boolean mHasEvents;
     private boolean mDone;
     private String mLastEventId;
     private Optional<ResumableStream> mResumable = Optional.empty();
@@ -336,6 +337,10 @@
 
     @Override
     public void onEvents(Attempt a, ByteBuf bytes) {
+        if (!mHasEvents) {
+            mHasEvents = true;
+            onFirstEvents(a);
+        }
         mTargetSelection.requireSoftware(a.softwareKey());
         mResumable.ifPresent(s -> s.onEvents(a.softwareKey()));
         if (a.outlivesCrashDelay()) {
@@ -347,6 +352,22 @@
         }
     }
 
+    /**
+     * Uses the time to the first events to estimate the prefill rate of the pool. Not after another
+     * attempt, by which the prompt may be cached.
+     */
+    private void onFirstEvents(Attempt a) {
+        boolean resumed = mRequest.head().resumes().isPresent() || mLastEventId != null;
+        if (mTargetSelection.promptTokens() == 0 || resumed || mAttempts.sentCount() != 1) {
+            return;
+        }
+        mContext.prefillRate(pool())
+                .onFirstEvent(
+                        mTargetSelection.tokensToRead(a.target()),
+                        mTargetSelection.promptTokens(),
+                        a.sinceSentMillis(mContext.now()));
+    }
+
     void onWritabilityChanged(boolean writable) {
         if (mAttempt != null) {
             mAttempt.setAutoRead(writable);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
@@ -25,6 +25,10 @@
     private final CallerRequest mRequest;
     private final String mContentHash;
     private Optional<Selection> mSelection = Optional.empty();
+
+    /** Slowdown of the last selected target when it was selected. */
+    private double mSlowdown = 1;
+
     private OptionalLong mBlamed = OptionalLong.empty();
 
     /**
@@ -56,6 +60,7 @@
         mSelection = Optional.of(selection);
         Pick p = selection.pick();
         Target t = p.target();
+        mSlowdown = t.slowdown(now());
         addNote(
                 "chosen in pool "
                         + selection.pool()
@@ -186,6 +191,7 @@
                 .with("rank", c.pick().rank())
                 .with("load", c.pick().load())
                 .with("load_age_ms", t.loadReportAgeMillis(now()))
+                .with("slowdown", mSlowdown)
                 .with("list", mContext.fleetState().targets().position());
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestMeters.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestMeters.java
@@ -44,6 +44,7 @@
     private final LatencyHistogram mFirstByte = new LatencyHistogram();
     private final LatencyHistogram mTotal = new LatencyHistogram();
     private Optional<MeterRegistry> mRegistry = Optional.empty();
+    private long mMalformedLoads;
 
     @Override
     public void bindTo(MeterRegistry registry) {
@@ -56,6 +57,9 @@
         mFirstByte.bind(
                 registry, "forkseam.first_byte", "from a request to the first byte of its answer");
         mTotal.bind(registry, "forkseam.request", "from a request to the end of its answer");
+        FunctionCounter.builder("forkseam.load.malformed", this, c -> c.mMalformedLoads)
+                .description("load reports of targets with a malformed figure")
+                .register(registry);
         registry.gauge("forkseam.log.dropped", this, c -> BoundedAsyncAppender.dropped());
         registry.gauge("forkseam.log.skipped", this, c -> Event.skipped());
     }
@@ -98,6 +102,11 @@
         onOutcome("malformed");
     }
 
+    /** Counts a response whose load report is malformed, entirely or in part. */
+    void onMalformedLoad() {
+        mMalformedLoads++;
+    }
+
     void onFirstByte(long millis) {
         mFirstByte.record(millis);
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.flow;
 
 import org.forkseam.core.admit.ColdStartLimiter;
+import org.forkseam.core.load.PrefillRate;
 import org.forkseam.core.member.ErrorRate;
 import org.forkseam.core.outcome.RetryDelayEstimator;
 import org.forkseam.core.route.CandidateFilter;
@@ -17,6 +18,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
 /** State shared by all requests of a router. Used on the event loop. */
 final class RouterContext {
@@ -30,12 +32,14 @@
     private final RetryBudgets mRetryBudgets;
     private final ResponseFactory mResponses;
     private final RequestMeters mMeters;
+    private final LoadReports mLoadReports;
     private final ArrivalTracker mArrivalTracker;
     private final RequestQueue mRequestQueue;
     private final ReadBarrier mReadBarrier;
     private final EventLoopLag mLoopLag;
     private final Map<String, RetryDelayEstimator> mRetryDelays = new HashMap<>();
     private final Map<String, ErrorRate> mErrorRates = new HashMap<>();
+    private final Map<String, PrefillRate> mPrefillRates = new HashMap<>();
     private final Set<RequestFlow> mActiveRequests = new LinkedHashSet<>();
     private final Set<CallerConnection> mConnections = new LinkedHashSet<>();
     private final DecisionLog mDecisions = DecisionLog.of(DecisionLog.DEFAULT_SIZE);
@@ -86,6 +90,7 @@
         mRetryBudgets = p.retryBudgets();
         mResponses = p.responses();
         mMeters = p.meters();
+        mLoadReports = new LoadReports(p.clock(), p.meters());
         mArrivalTracker = p.arrivalTracker();
         mRequestQueue = new RequestQueue(mClock, mArrivalTracker, p.loopScheduler());
         mLoopLag = new EventLoopLag(ArrivalTracker.ITERATION_MILLIS, mClock.nowMillis());
@@ -118,6 +123,18 @@
         return mErrorRates.computeIfAbsent(pool, p -> new ErrorRate());
     }
 
+    /** Returns the prefill rate of a pool's engines. */
+    PrefillRate prefillRate(String pool) {
+        return mPrefillRates.computeIfAbsent(pool, p -> PrefillRate.create());
+    }
+
+    /** Returns the prefill rate of each pool in tokens per millisecond. */
+    Map<String, Double> prefillRates() {
+        Map<String, Double> rates = new TreeMap<>();
+        mPrefillRates.forEach((pool, r) -> rates.put(pool, r.tokensPerMilli()));
+        return rates;
+    }
+
     ReadBarrier readBarrier() {
         return mReadBarrier;
     }
@@ -170,6 +187,10 @@
         return mMeters;
     }
 
+    LoadReports loadReports() {
+        return mLoadReports;
+    }
+
     Set<RequestFlow> activeRequests() {
         return mActiveRequests;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -237,6 +237,7 @@
         m.put("leaving", mContext.isDraining());
         m.put("retry_budgets", mContext.retryBudgets().usage(mContext.now()));
         m.put("retry_budget_routers", mContext.retryBudgets().routerCount().orElse(0));
+        m.put("prefill_rates", mContext.prefillRates());
         m.put("targets", mFleetState.targets().all().stream().map(this::dump).toList());
         return m;
     }
@@ -250,6 +251,8 @@
         m.put("domain", t.entry().domain());
         m.put("in_flight", t.inFlight());
         m.put("others", t.othersInFlight(now));
+        m.put("waiting", t.waiting(now));
+        m.put("slowdown", t.slowdown(now));
         m.put("share", t.health().trafficShare(now));
         m.put("state", t.availability().state(now));
         m.put("takes_work", t.acceptsRequests(now));
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetSelection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetSelection.java
@@ -30,6 +30,7 @@
     private final String mKey;
     private final long mKeyHash;
     private final long mSharedTokens;
+    private final long mPromptTokens;
     private final Set<String> mTried = new HashSet<>();
     private Optional<String> mCopySource = Optional.empty();
     private OptionalLong mRequiredSoftware = OptionalLong.empty();
@@ -40,6 +41,7 @@
         mKey = prompt.map(Prompt::sharedKey).orElse(request.id());
         mKeyHash = Hashes.of(mKey);
         mSharedTokens = prompt.map(Prompt::sharedTokens).orElse(0L);
+        mPromptTokens = prompt.map(Prompt::tokens).orElse(0L);
     }
 
     /** Returns the selection key. */
@@ -52,6 +54,24 @@
         return mSharedTokens;
     }
 
+    /** Returns the length of the prompt in tokens. */
+    long promptTokens() {
+        return mPromptTokens;
+    }
+
+    /**
+     * Returns the number of prompt tokens that a target reads if its cache holds the shared ones; 0
+     * if it is not known to hold them.
+     */
+    long tokensToRead(Target t) {
+        boolean holdsShared =
+                mSharedTokens == 0
+                        || mContext.fleetState()
+                                .holders()
+                                .isHolder(mKeyHash, t.incarnation(), mContext.now());
+        return holdsShared ? mPromptTokens - mSharedTokens : 0;
+    }
+
     /**
      * Returns the address of the target from which the last attempt was told to copy the prompt.
      */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/spi/ResponseHead.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/spi/ResponseHead.java
@@ -1,9 +1,9 @@
 package org.forkseam.direct.spi;
 
+import org.forkseam.core.load.ReportedLoad;
 import org.forkseam.core.member.AvailabilitySignal;
 
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
@@ -12,7 +12,8 @@
  * @param requestId the id of the request it belongs to
  * @param notRun whether the target reports that it did not and will not run the request
  * @param wrongTarget whether a different target than expected listens at the address
- * @param load number of requests running and queued at the target
+ * @param load the load that the target reports
+ * @param malformedLoad the text of a load report that is malformed, entirely or in part
  * @param keepAliveMillis how long the target keeps an idle connection
  * @param signal the target's statement on whether it accepts further requests
  * @since 0.2
@@ -21,6 +22,7 @@
         Optional<String> requestId,
         boolean notRun,
         boolean wrongTarget,
-        OptionalInt load,
+        Optional<ReportedLoad> load,
+        Optional<String> malformedLoad,
         OptionalLong keepAliveMillis,
         AvailabilitySignal signal) {}
