--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -227,7 +227,7 @@
         mHeadAt = mContext.now();
         mHead = head;
         mContext.fleetState().signals().onAnswer(mTarget, mDecodedHead);
-        mDecodedHead.load().ifPresent(l -> mTarget.onLoadReported(l, mContext.now()));
+        mContext.loadReports().onHead(mTarget, mDecodedHead);
         mDecodedHead
                 .keepAliveMillis()
                 .ifPresent(k -> mConnection.limitIdleMillis(k - idleMarginMillis(k)));
