Use reported queues and slowdown for the timeouts of attempts

Cause: StallCheck took constants until targets' reports were read. Ruled out: nothing new; the model of AttemptPatience covers both. Change: the queue at a target is what it reported, at its reported slowdown.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/StallCheck.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/StallCheck.java
@@ -111,17 +111,7 @@
     private static TargetQueue queue(Target t, long now) {
         long age = t.loadReportAgeMillis(now);
         return new TargetQueue(
-                waiting(), t.entry().slots(), slowdown(), age < 0 ? Long.MAX_VALUE : age);
-    }
-
-    /** Returns the number of waiting requests; 0 as long as targets' reports of it are not read. */
-    private static int waiting() {
-        return 0;
-    }
-
-    /** Returns the slowdown; 1 as long as targets' reports of it are not read. */
-    private static double slowdown() {
-        return 1.0;
+                t.waiting(now), t.entry().slots(), t.slowdown(now), age < 0 ? Long.MAX_VALUE : age);
     }
 
     /** Returns whether admission reports a shortage; false as long as there is no admission. */
