Query coordinators for placements and record warm pools

Cause: routers had no way to ask the coordinator of a group of engines. Ruled out: a row in the store for each group (the store must not be needed) and failing over to the next router for each lost datagram (routers would use two ledgers). Messages of the kinds 23, 24 and 25; the format stays 7. TargetFollower reports all changes after the first list, as engines that join have empty caches.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
@@ -5,15 +5,18 @@
 import org.forkseam.core.admit.ColdStartShare;
 import org.forkseam.core.kernel.Service;
 import org.forkseam.core.member.Target;
+import org.forkseam.core.member.TargetChange;
 import org.forkseam.core.member.TargetDirectory;
 import org.forkseam.core.member.TargetEntry;
 import org.forkseam.core.member.VersionHistory;
+import org.forkseam.core.place.PlacementPolicy;
 import org.forkseam.core.route.PromptHolderIndex;
 import org.forkseam.core.share.LoadGossip;
 import org.forkseam.core.store.StorePosition;
 import org.forkseam.core.traffic.Route;
 import org.forkseam.core.traffic.TrafficConfig;
 import org.forkseam.core.util.Clock;
+import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.io.ReadBarrier;
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.FleetSource;
@@ -66,6 +69,9 @@
     private final TargetObservations mObservations;
     private final TargetSignals mSignals;
     private final StreamOrigins mStreamOrigins;
+    private final PlacementPolicy mPlacementPolicy = PlacementPolicy.create();
+    private final WarmPools mWarmPools;
+    private final PromptPlacements mPlacements;
     private long mEvacuationChanges;
     private long mLastMessageAt;
     private boolean mSnapshotRequested;
@@ -114,7 +120,7 @@
                 new FollowerBase.Context(
                         loop, clock, random, mPeerGroup, mStoreHealth, mEra, this::isComplete);
         FleetSource fleet = new EraCheckedFleetSource(sources.fleet(), mEra);
-        mTargetFollower = new TargetFollower(context, fleet, listMillis, this::onRestart);
+        mTargetFollower = new TargetFollower(context, fleet, listMillis, this::onTargetChange);
         mConfigFollower = new ConfigFollower(context, fleet, new OperatorListener());
         SharedRows shared = new EraCheckedSharedRows(sources.shared(), mEra);
         mRowFollower = new RowFollower(context, shared, this::onRow);
@@ -128,6 +134,14 @@
                         clock,
                         mPeerGroup,
                         mTargetFollower.versions());
+        mWarmPools = new WarmPools(context, shared, mRowFollower, mPlacementPolicy);
+        mPlacements =
+                new PromptPlacements(
+                        ReadBarrier.of(loop)::schedule,
+                        clock,
+                        mPeerGroup,
+                        mTargetFollower.targets(),
+                        Hashes.mix(Hashes.of(self.host()), random.nextLong()));
         mSignals = new TargetSignals(mTargetFollower.targets(), clock);
         mObservations =
                 new TargetObservations(clock, mTargetFollower.targets(), mQuarantine, mSignals);
@@ -171,6 +185,8 @@
         mShardTables.plan(config());
         versions().onRecordsCurrent(mRowFollower.currentAt());
         mVersionRecords.plan();
+        mWarmPools.plan();
+        mPlacements.dropUnused();
     }
 
     private void scheduleEvery(long millis, Runnable task) {
@@ -186,6 +202,7 @@
                     mTargetFollower.stop();
                     mShardTables.stop();
                     mVersionRecords.stop();
+                    mWarmPools.stop();
                     mQuarantine.stop();
                     mRowFollower.stop();
                     mPeerGroup.close();
@@ -211,6 +228,7 @@
         m.put("quarantine", mQuarantine.dump());
         m.put("crash_suspects", mQuarantine.suspects());
         m.put("stream_origins", mStreamOrigins.dump());
+        m.put("placements", mPlacements.dump());
         m.put("messages_sent", mPeerGroup.messagesSent());
         m.put("store_calls", mCalls.get());
         m.put("source_down", mStoreHealth.isDown());
@@ -269,6 +287,16 @@
         return mStreamOrigins;
     }
 
+    /** Returns the coordinated placement of prompts. */
+    public PromptPlacements placements() {
+        return mPlacements;
+    }
+
+    /** Returns which requests coordinators place. */
+    public PlacementPolicy placementPolicy() {
+        return mPlacementPolicy;
+    }
+
     /** Returns the software versions of each pool. */
     public VersionHistory versions() {
         return mTargetFollower.versions();
@@ -366,6 +394,18 @@
             mStreamOrigins.onQuery(q, sender);
             return;
         }
+        if (m instanceof PeerMessage.PlacePrompt p) {
+            mPlacements.onQuery(p.query(), sender);
+            return;
+        }
+        if (m instanceof PeerMessage.PlacementAnswer a) {
+            mPlacements.onReply(a.reply());
+            return;
+        }
+        if (m instanceof PeerMessage.PromptPlaced p) {
+            mPlacements.onDone(p.done());
+            return;
+        }
         if (m instanceof PeerMessage.Operators o) {
             mConfigFollower.onMessage(o, sender);
             return;
@@ -410,13 +450,19 @@
         }
     }
 
-    private void onRestart(String targetId) {
-        mShardTables.onRestart(targetId);
+    private void onTargetChange(TargetChange c) {
+        if (c.kind() == TargetChange.Kind.RESTARTED) {
+            mShardTables.onRestart(c.entry().id());
+        }
+        if (c.kind() == TargetChange.Kind.RESTARTED || c.kind() == TargetChange.Kind.JOINED) {
+            mPlacementPolicy.onEngineStarted(c.entry().id(), mClock.nowMillis());
+        }
     }
 
     private void onRow(SharedRow row) {
         mShardTables.apply(row);
         mVersionRecords.apply(row);
+        mWarmPools.apply(row);
         mQuarantine.apply(row);
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerChannel.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerChannel.java
@@ -96,7 +96,7 @@
         }
     }
 
-    private InetSocketAddress address(String text) {
+    InetSocketAddress address(String text) {
         return mAddresses.computeIfAbsent(text, Addresses::parse);
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
@@ -38,6 +38,9 @@
     private static final int CONFIG = 20;
     private static final int STREAM_ORIGINS = 21;
     private static final int STREAM_QUERY = 22;
+    private static final int PLACE_PROMPT = 23;
+    private static final int PLACEMENT_ANSWER = 24;
+    private static final int PROMPT_PLACED = 25;
 
     private PeerCodec() {}
 
@@ -59,6 +62,12 @@
         } else if (m instanceof PeerMessage.StreamQuery q) {
             b = newMessage(STREAM_QUERY).writeLong(q.stream());
             StringCodec.write(b, q.pool());
+        } else if (m instanceof PeerMessage.PlacePrompt p) {
+            b = PlacementCodec.write(newMessage(PLACE_PROMPT), p.query());
+        } else if (m instanceof PeerMessage.PlacementAnswer a) {
+            b = PlacementCodec.write(newMessage(PLACEMENT_ANSWER), a.reply());
+        } else if (m instanceof PeerMessage.PromptPlaced p) {
+            b = PlacementCodec.write(newMessage(PROMPT_PLACED), p.done());
         } else {
             b = writeObservations((PeerMessage.Observations) m);
         }
@@ -92,6 +101,16 @@
                 b.skipBytes(2);
                 yield Optional.of(new PeerMessage.StreamQuery(b.readLong(), StringCodec.read(b)));
             }
+            case PLACE_PROMPT ->
+                    Optional.of(
+                            new PeerMessage.PlacePrompt(PlacementCodec.readQuery(b.skipBytes(2))));
+            case PLACEMENT_ANSWER ->
+                    Optional.of(
+                            new PeerMessage.PlacementAnswer(
+                                    PlacementCodec.readReply(b.skipBytes(2))));
+            case PROMPT_PLACED ->
+                    Optional.of(
+                            new PeerMessage.PromptPlaced(PlacementCodec.readDone(b.skipBytes(2))));
             default -> PeerNotice.read(b).map(n -> n);
         };
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerGroup.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerGroup.java
@@ -3,27 +3,34 @@
 import io.netty.channel.EventLoop;
 
 import org.forkseam.core.admit.ColdStartShare;
+import org.forkseam.core.place.EngineGroups;
 import org.forkseam.core.route.Rendezvous;
 import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.io.Addresses;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 
 /** Tracks the other routers and sends them messages. Confined to the event loop. */
-final class PeerGroup implements StreamOrigins.Network {
+final class PeerGroup implements StreamOrigins.Network, PromptPlacements.Network {
     private final PeerChannel mChannel;
     private final FleetState.RouterIdentity mSelf;
     private final RandomGenerator mRandom;
     private final Map<String, String> mRouters = new LinkedHashMap<>();
     private List<String> mPeerAddresses = List.of();
     private List<Peer> mPeers = List.of();
+
+    /** All known routers, including this one. */
+    private List<Peer> mCandidates = List.of();
+
     private long mMessagesSent;
 
     /** Another router and the hash of its host's name. */
@@ -76,10 +83,13 @@
                         .map(e -> new Peer(Hashes.of(e.getKey()), e.getValue()))
                         .toList();
         mPeerAddresses = mPeers.stream().map(Peer::address).toList();
+        mCandidates = new ArrayList<>(mPeers);
+        mCandidates.add(new Peer(Hashes.of(host()), address()));
     }
 
     /** Returns whether any router is registered, as far as this one knows. */
-    boolean hasRouters() {
+    @Override
+    public boolean hasRouters() {
         return !mRouters.isEmpty();
     }
 
@@ -142,6 +152,13 @@
         return keepers.size();
     }
 
+    @Override
+    public Optional<InetSocketAddress> coordinator(String pool, int group) {
+        return EngineGroups.coordinator(pool, group, mCandidates, Peer::hostHash)
+                .filter(p -> !p.address().equals(address()))
+                .map(p -> mChannel.address(p.address()));
+    }
+
     @Override
     public void sendTo(InetSocketAddress address, PeerMessage m) {
         mMessagesSent++;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
@@ -2,6 +2,9 @@
 
 import org.forkseam.core.crash.CrashEvent;
 import org.forkseam.core.member.Evacuations;
+import org.forkseam.core.place.PlacementDone;
+import org.forkseam.core.place.PlacementQuery;
+import org.forkseam.core.place.PlacementReply;
 import org.forkseam.core.share.LoadReading;
 import org.forkseam.core.share.PromptHolder;
 import org.forkseam.core.share.StreamOrigin;
@@ -23,6 +26,9 @@
                 PeerMessage.Rows,
                 PeerMessage.StreamOrigins,
                 PeerMessage.StreamQuery,
+                PeerMessage.PlacePrompt,
+                PeerMessage.PlacementAnswer,
+                PeerMessage.PromptPlaced,
                 PeerMessage.Observations {
     /**
      * Returns the store position at which the content was read; empty if it was not read from the
@@ -145,6 +151,27 @@
      */
     record StreamQuery(long stream, String pool) implements PeerMessage {}
 
+    /**
+     * Asks the coordinator of a group of engines to place a prompt.
+     *
+     * @param query the prompt
+     */
+    record PlacePrompt(PlacementQuery query) implements PeerMessage {}
+
+    /**
+     * Answers a {@link PlacePrompt}.
+     *
+     * @param reply the selected engine
+     */
+    record PlacementAnswer(PlacementReply reply) implements PeerMessage {}
+
+    /**
+     * Reports the end of a placed prompt's prefill to its coordinator.
+     *
+     * @param done the report
+     */
+    record PromptPlaced(PlacementDone done) implements PeerMessage {}
+
     /**
      * Carries observations from targets' responses.
      *
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
@@ -45,7 +45,7 @@
     private final VersionHistory mVersions;
     private long mPauseMillis;
     private TargetListDelta.Snapshot mList = TargetListDelta.Snapshot.of(List.of());
-    private final Consumer<String> mOnRestart;
+    private final Consumer<TargetChange> mOnChange;
     private StoreTimestamp mReadAt = StoreTimestamp.NEVER;
     private int mPartsLeft;
     private int mFailures;
@@ -64,13 +64,16 @@
      * Creates a follower without a list.
      *
      * @param pauseMillis interval between reads of the list, over all routers
-     * @param onRestart receives the ids of restarted targets
+     * @param onChange receives the changes of the list after the first one
      */
     TargetFollower(
-            Context context, FleetSource source, long pauseMillis, Consumer<String> onRestart) {
+            Context context,
+            FleetSource source,
+            long pauseMillis,
+            Consumer<TargetChange> onChange) {
         super(context);
         mSource = source;
-        mOnRestart = onRestart;
+        mOnChange = onChange;
         mPauseMillis = pauseMillis;
         mVersions = VersionHistory.of(pauseMillis);
     }
@@ -228,9 +231,9 @@
     }
 
     private void apply(TargetListDelta.Snapshot list, StorePosition position, long confirmedAt) {
-        mHasList = true;
         mConfirmedAt = confirmedAt;
         mTargets.apply(position, list.entries(), now()).forEach(this::onChange);
+        mHasList = true;
         mList = list;
         scheduleGraceEndRead();
     }
@@ -255,8 +258,8 @@
 
     private void onChange(TargetChange c) {
         logChange(c);
-        if (c.kind() == TargetChange.Kind.RESTARTED) {
-            mOnRestart.accept(c.entry().id());
+        if (mHasList) {
+            mOnChange.accept(c);
         }
     }
 
@@ -366,8 +369,8 @@
         if (list.isEmpty()) {
             return;
         }
-        mHasList = true;
         mTargets.apply(position, list, now()).forEach(this::onChange);
+        mHasList = true;
         mVersions.onTargets(mTargets.all(), Long.MIN_VALUE / 2, now());
     }
 }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
@@ -11,6 +11,9 @@
 
 import org.forkseam.core.crash.CrashEvent;
 import org.forkseam.core.member.TargetEntry;
+import org.forkseam.core.place.PlacementDone;
+import org.forkseam.core.place.PlacementQuery;
+import org.forkseam.core.place.PlacementReply;
 import org.forkseam.core.share.LoadGossip;
 import org.forkseam.core.share.LoadReading;
 import org.forkseam.core.share.PromptHolder;
@@ -113,6 +116,22 @@
                             new StreamOrigin(-3, StreamOrigin.UNKNOWN)));
     private static final PeerMessage STREAM_QUERY = new PeerMessage.StreamQuery(-5, "forecast-lm");
 
+    private static final PeerMessage PLACE_PROMPT =
+            new PeerMessage.PlacePrompt(
+                    new PlacementQuery(
+                            Long.MIN_VALUE,
+                            "forecast-lm-of-the-northern-region-2",
+                            -1,
+                            Long.MAX_VALUE,
+                            2_520,
+                            8_620,
+                            Integer.MAX_VALUE,
+                            -7));
+    private static final PeerMessage PLACEMENT_ANSWER =
+            new PeerMessage.PlacementAnswer(new PlacementReply(-1, Integer.MIN_VALUE, 3));
+    private static final PeerMessage PROMPT_PLACED =
+            new PeerMessage.PromptPlaced(new PlacementDone(7, -3, true, 2.5));
+
     private static SharedRow gone() {
         return SharedRow.absent("router/h", 2);
     }
@@ -133,7 +152,10 @@
                         ROWS,
                         OBSERVATIONS,
                         STREAM_ORIGINS,
-                        STREAM_QUERY)) {
+                        STREAM_QUERY,
+                        PLACE_PROMPT,
+                        PLACEMENT_ANSWER,
+                        PROMPT_PLACED)) {
             assertThat(PeerCodec.read(written(m))).isEqualTo(Optional.of(m));
         }
     }
@@ -148,7 +170,10 @@
                         ROWS,
                         OBSERVATIONS,
                         STREAM_ORIGINS,
-                        STREAM_QUERY)) {
+                        STREAM_QUERY,
+                        PLACE_PROMPT,
+                        PLACEMENT_ANSWER,
+                        PROMPT_PLACED)) {
             ByteBuf whole = written(m);
             for (int n = 0; n < whole.readableBytes(); n++) {
                 assertThat(PeerCodec.read(whole.copy(0, n)).isPresent()).isFalse();
@@ -160,7 +185,7 @@
 
     @Property(tries = 500)
     void arbitraryBytesDoNotThrow(
-            @ForAll byte[] bytes, @ForAll @IntRange(min = 15, max = 23) int kind) {
+            @ForAll byte[] bytes, @ForAll @IntRange(min = 15, max = 26) int kind) {
         ByteBuf b = Unpooled.buffer().writeByte(PeerCodec.FORMAT).writeByte(kind).writeBytes(bytes);
         PeerCodec.read(b);
         assertThat(b.refCnt()).isEqualTo(1);
@@ -203,6 +228,14 @@
         assertThat(bytes(loads, facts, crashes, leaving)).isEqualTo(1_394);
     }
 
+    /** Guards the network cost of placements: three messages for each request to empty engines. */
+    @Test
+    void placementsFitIntoEightyBytes() {
+        for (PeerMessage m : List.of(PLACE_PROMPT, PLACEMENT_ANSWER, PROMPT_PLACED)) {
+            assertThat(written(m).readableBytes()).isAtMost(80);
+        }
+    }
+
     private static int bytes(
             List<LoadReading> loads,
             List<PromptHolder> facts,
