Place prompts of contended engine pools through their coordinators

Cause: a request went to its home also while the home was prefilling long prompts and other engines were idle. Ruled out: placement for all pools (others must take the path they take today), and using the placed engine over its load bound. Change: before the first selection, RequestFlow asks the coordinator if the policy says so; TargetSelection takes the placed engine if it is a candidate within its load bound, otherwise the usual picker decides. Copy sources come from the coordinator while the pool is cold. The end of the prefill is reported on the first event or at the end of the attempt.

--- a/forkseam-core/src/main/java/org/forkseam/core/route/BoundedLoadPicker.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/BoundedLoadPicker.java
@@ -91,13 +91,14 @@
         double mean = (double) total / all;
         double prefixBound = boundFraction * mMultiple * mean + mMargin;
         double saturatedBound = SATURATED_MULTIPLE * mean + SATURATED_MARGIN;
+        int placed = request.placed().map(order::indexOf).orElse(-1);
+        if (placed >= 0 && isWithin(order.get(placed), prefixBound, saturatedBound, now)) {
+            Target t = order.get(placed);
+            return Optional.of(new Pick(t, placed, Pick.Reason.PLACED, load(t, now)));
+        }
         for (int i = 0; i < order.size(); i++) {
             Target t = order.get(i);
-            double bound =
-                    Math.min(
-                            prefixBound,
-                            Math.max(FREE_SLOTS_FRACTION * t.entry().slots(), saturatedBound));
-            if (load(t, now) < bound) {
+            if (isWithin(t, prefixBound, saturatedBound, now)) {
                 Pick.Reason reason = i == 0 ? Pick.Reason.HOME : Pick.Reason.SPILL;
                 return Optional.of(new Pick(t, i, reason, load(t, now)));
             }
@@ -105,6 +106,17 @@
         return Optional.of(pickLeastLoaded(order, now));
     }
 
+    /** Returns whether a target is below its load bound. */
+    private static boolean isWithin(Target t, double prefixBound, double saturatedBound, long now) {
+        double freeSlotsBound = FREE_SLOTS_FRACTION * t.entry().slots();
+        return load(t, now) < Math.min(prefixBound, Math.max(freeSlotsBound, saturatedBound));
+    }
+
+    /** Returns the first of the candidates in a key's order of preference. */
+    public static Optional<Target> home(PickRequest request, List<Target> candidates) {
+        return preferenceOrder(request, candidates).stream().findFirst();
+    }
+
     /**
      * Picks among the targets with the fewest requests in flight from this router the less loaded
      * of the first two in the key's order. Other routers' loads are delayed, so that picking by
--- a/forkseam-core/src/main/java/org/forkseam/core/route/Pick.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/Pick.java
@@ -15,6 +15,8 @@
     public enum Reason {
         /** It is the first in the order of preference. */
         HOME,
+        /** A coordinator selected it. */
+        PLACED,
         /** Those preferred were over their load bound. */
         SPILL,
         /** It has the lowest load. */
--- a/forkseam-core/src/main/java/org/forkseam/core/route/PromptHolderIndex.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/PromptHolderIndex.java
@@ -74,6 +74,13 @@
         return firstReachable(likely, chosen, directory, nowMillis);
     }
 
+    /** Returns whether a target is known to have processed the prompt of a key. */
+    public boolean hasHolder(long key, long nowMillis) {
+        BoundedMap<TargetIncarnation, Long> holders = mHoldersByKey.get(key);
+        return holders != null
+                && holders.values().stream().anyMatch(at -> nowMillis - at < HOLDER_TTL_MILLIS);
+    }
+
     private static Optional<Target> newestHolder(
             Map<TargetIncarnation, Long> holders,
             Target chosen,
@@ -107,7 +114,8 @@
         return Optional.empty();
     }
 
-    private static boolean isUsableSource(Target t, Target chosen, long nowMillis) {
+    /** Returns whether a target can copy a prompt from another. */
+    public static boolean isUsableSource(Target t, Target chosen, long nowMillis) {
         // A target that is recovering from failures still has its cache.
         return t != chosen
                 && t.softwareKey() == chosen.softwareKey()
--- a/forkseam-core/src/test/java/org/forkseam/core/route/BoundedLoadPickerTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/route/BoundedLoadPickerTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 
 import java.util.List;
+import java.util.Optional;
 
 /** Tests the preference for a home within the load bound. */
 class BoundedLoadPickerTest {
@@ -64,6 +65,37 @@
                 .isEqualTo(Pick.Reason.SPILL);
     }
 
+    private static PickRequest placed(Target t) {
+        return new PickRequest("k", 10_000, ShardTable.empty(), 0, Optional.of(t));
+    }
+
+    @Test
+    void placedTargetIsPickedInsteadOfTheHome() {
+        List<Target> pool = TestTargets.ready(4);
+        Target home = mPicker.pick(request("k", 10_000), pool, 0).orElseThrow().target();
+        Target other = pool.stream().filter(t -> t != home).findFirst().orElseThrow();
+        Pick p = mPicker.pick(placed(other), pool, 0).orElseThrow();
+        assertThat(p.target()).isSameInstanceAs(other);
+        assertThat(p.reason()).isEqualTo(Pick.Reason.PLACED);
+        assertThat(p.rank()).isGreaterThan(0);
+        assertThat(mPicker.pick(placed(home), pool, 0).orElseThrow().rank()).isEqualTo(0);
+    }
+
+    /** Coordinators do not know all requests of an engine; the load bound has to hold anyway. */
+    @Test
+    void placedTargetOverItsBoundOrNotACandidateIsNotPicked() {
+        List<Target> pool = TestTargets.ready(4);
+        pool.forEach(t -> TestTargets.load(t, 10));
+        Target home = mPicker.pick(request("k", 10_000), pool, 0).orElseThrow().target();
+        Target other = pool.stream().filter(t -> t != home).findFirst().orElseThrow();
+        TestTargets.load(other, 30);
+        assertThat(mPicker.pick(placed(other), pool, 0).orElseThrow().target())
+                .isSameInstanceAs(home);
+        List<Target> rest = pool.stream().filter(t -> t != other).toList();
+        assertThat(mPicker.pick(placed(other), rest, 0).orElseThrow().target())
+                .isSameInstanceAs(home);
+    }
+
     @Property(tries = 300)
     void neverPicksTargetOverBoundWhileAnotherIsBelow(
             @ForAll @Size(min = 1, max = 12) List<@IntRange(max = 60) Integer> loads,
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -42,6 +42,7 @@
     private final FinalResponse mResponse;
     private final long mReadAt;
     private final TargetSelection mTargetSelection;
+    private final PromptPlacement mPlacement;
     private final AttemptTracker mAttempts = new AttemptTracker();
     private final FailureResponder mFailureResponder;
     private TrafficConfig mConfig;
@@ -61,6 +62,7 @@
         mLogger = new RequestLogger(context, request, mFingerprints.content());
         mResponse = new FinalResponse(context, request, sink, this::onFinished);
         mTargetSelection = new TargetSelection(context, request);
+        mPlacement = new PromptPlacement(context, mTargetSelection);
         mFailureResponder = new FailureResponder(context, mResponse, mAttempts, mTargetSelection);
         mReadAt = context.now();
     }
@@ -129,7 +131,7 @@
             mResumable.get().findOrigin(this::onOrigin);
             return;
         }
-        startAttempt();
+        mPlacement.find(mAdmission, this::startAttemptUnlessDone);
     }
 
     /** Continues a resumed stream at the software that began it, or refuses the request. */
@@ -181,6 +183,7 @@
             return;
         }
         Target t = pick.get().target();
+        mPlacement.onTargetSelected(pick.get());
         mLogger.onTargetSelected(
                 new RequestLogger.Selection(
                         pool(),
@@ -255,6 +258,7 @@
     @Override
     public void onAttemptEnded(Attempt a, AttemptResult result) {
         mAttempt = null;
+        mPlacement.onAttemptEnded(result.kind() == AttemptResult.Kind.ANSWERED);
         long now = mContext.now();
         mContext.meters().onAttempt(result.kind().name());
         result.recordOn(a.target(), mContext.errorRate(pool()), now);
@@ -330,6 +334,7 @@
             return; // a resumed stream keeps the head from its first target
         }
         mStreaming = true;
+        mPlacement.onFirstEvent();
         mContext.meters().onFirstByte(mContext.now() - mRequest.receivedMillis());
         mSink.writeHead(mContext.responses().streamHead(a.head()));
     }
@@ -483,6 +488,7 @@
     private void onFinished(String outcome) {
         mDone = true;
         mContext.activeRequests().remove(this);
+        mPlacement.onRequestEnded();
         Optional<Admission> admitted = Optional.ofNullable(mAdmission);
         mLogger.onEnd(
                 outcome,
@@ -491,7 +497,8 @@
                         admitted.flatMap(Admission::team).map(Team::name).orElse(""),
                         mConfig == null ? 0 : mConfig.version(),
                         mAttempts.sentCount(),
-                        mTargetSelection.copySource()));
+                        mTargetSelection.copySource(),
+                        mPlacement.placedBy()));
     }
 
     /** Cancels the request after its caller disconnected. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
@@ -36,7 +36,13 @@
     record Selection(String pool, Pick pick, String key, long sharedTokens) {}
 
     /** Values logged together with a request's outcome. */
-    record Summary(String route, String team, long config, int sent, Optional<String> copySource) {}
+    record Summary(
+            String route,
+            String team,
+            long config,
+            int sent,
+            Optional<String> copySource,
+            Optional<String> placedBy) {}
 
     RequestLogger(RouterContext context, CallerRequest request, long contentHash) {
         mContext = context;
@@ -187,5 +193,6 @@
                 .with("load", c.pick().load())
                 .with("load_age_ms", t.loadReportAgeMillis(now()))
                 .with("list", mContext.fleetState().targets().position());
+        s.placedBy().ifPresent(p -> e.with("placed_by", p));
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestMeters.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestMeters.java
@@ -41,6 +41,7 @@
     private final Map<String, Counter> mAttempts = new HashMap<>();
     private final Map<String, Counter> mRetries = new HashMap<>();
     private final Map<String, Counter> mStreamsResumed = new HashMap<>();
+    private final Map<String, Counter> mPlacements = new HashMap<>();
     private final LatencyHistogram mFirstByte = new LatencyHistogram();
     private final LatencyHistogram mTotal = new LatencyHistogram();
     private Optional<MeterRegistry> mRegistry = Optional.empty();
@@ -53,6 +54,7 @@
         mRetries.forEach((k, c) -> c.register("forkseam.retries", "budget", k, registry));
         mStreamsResumed.forEach(
                 (k, c) -> c.register("forkseam.streams.resumed", "origin", k, registry));
+        mPlacements.forEach((k, c) -> c.register("forkseam.placements", "result", k, registry));
         mFirstByte.bind(
                 registry, "forkseam.first_byte", "from a request to the first byte of its answer");
         mTotal.bind(registry, "forkseam.request", "from a request to the end of its answer");
@@ -90,6 +92,11 @@
         count(mStreamsResumed, "forkseam.streams.resumed", "origin", origin);
     }
 
+    /** Counts a prompt for which a coordinator was asked, by result. */
+    void onPlacement(String result) {
+        count(mPlacements, "forkseam.placements", "result", result);
+    }
+
     void onHeldForTarget() {
         count(mAttempts, "forkseam.attempts", "end", "HELD_FOR_TARGET");
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetSelection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetSelection.java
@@ -1,9 +1,11 @@
 package org.forkseam.direct.flow;
 
 import org.forkseam.core.member.Target;
+import org.forkseam.core.route.BoundedLoadPicker;
 import org.forkseam.core.route.CandidateFilter;
 import org.forkseam.core.route.Pick;
 import org.forkseam.core.route.PickRequest;
+import org.forkseam.core.route.PromptHolderIndex;
 import org.forkseam.core.route.TargetPicker;
 import org.forkseam.core.traffic.ColdStart;
 import org.forkseam.core.traffic.Pool;
@@ -11,6 +13,7 @@
 import org.forkseam.core.traffic.RouteKind;
 import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.know.FleetState;
+import org.forkseam.direct.know.PromptPlacements;
 
 import java.util.HashSet;
 import java.util.List;
@@ -30,16 +33,18 @@
     private final String mKey;
     private final long mKeyHash;
     private final long mSharedTokens;
+    private final Optional<Prompt> mPrompt;
     private final Set<String> mTried = new HashSet<>();
     private Optional<String> mCopySource = Optional.empty();
     private OptionalLong mRequiredSoftware = OptionalLong.empty();
+    private Optional<PromptPlacements.Result> mPlacement = Optional.empty();
 
     TargetSelection(RouterContext context, CallerRequest request) {
         mContext = context;
-        Optional<Prompt> prompt = request.head().prompt();
-        mKey = prompt.map(Prompt::sharedKey).orElse(request.id());
+        mPrompt = request.head().prompt();
+        mKey = mPrompt.map(Prompt::sharedKey).orElse(request.id());
         mKeyHash = Hashes.of(mKey);
-        mSharedTokens = prompt.map(Prompt::sharedTokens).orElse(0L);
+        mSharedTokens = mPrompt.map(Prompt::sharedTokens).orElse(0L);
     }
 
     /** Returns the selection key. */
@@ -115,7 +120,11 @@
                 mContext.selectors().candidateFilter().apply(admitted, mTried, now);
         PickRequest request =
                 new PickRequest(
-                        mKey, mSharedTokens, mContext.fleetState().shardTables().table(pool), idle);
+                        mKey,
+                        mSharedTokens,
+                        mContext.fleetState().shardTables().table(pool),
+                        idle,
+                        mPlacement.flatMap(PromptPlacements.Result::engine));
         Optional<Pick> pick = picker(admission).pick(request, c.targets(), now);
         pick.ifPresent(p -> onPick(pool, p, cold, now));
         return pick;
@@ -208,6 +217,14 @@
         if (mSharedTokens == 0) {
             return Optional.empty();
         }
+        if (mPlacement.filter(p -> isCopySourceKnown(p, t, pool)).isPresent()) {
+            mCopySource =
+                    mPlacement
+                            .flatMap(PromptPlacements.Result::copySource)
+                            .filter(s -> PromptHolderIndex.isUsableSource(s, t, mContext.now()))
+                            .map(s -> s.entry().address());
+            return mCopySource;
+        }
         FleetState fleetState = mContext.fleetState();
         List<String> likely = fleetState.shardTables().likelyHolders(pool, mKeyHash);
         mCopySource =
@@ -218,6 +235,62 @@
         return mCopySource;
     }
 
+    /**
+     * Returns whether the coordinator knows better than this router whether and from where a target
+     * has to copy the prompt. In a warm pool it does not know which prompts the engines held
+     * before.
+     */
+    private boolean isCopySourceKnown(PromptPlacements.Result p, Target t, String pool) {
+        boolean isCold = mContext.fleetState().placementPolicy().isCold(pool, mContext.now());
+        return p.engine().filter(e -> e == t).isPresent() && (isCold || p.copySource().isPresent());
+    }
+
+    // ---------------------------------------------------------------- placement
+
+    /** Prefers the engine that a coordinator has selected. */
+    void onPlaced(PromptPlacements.Result placement) {
+        mPlacement = Optional.of(placement);
+    }
+
+    /** Returns the first target in the key's order of preference that accepts requests. */
+    Optional<Target> home(Admission a) {
+        long now = mContext.now();
+        List<Target> accepting =
+                mContext.fleetState().targets().pool(a.pool()).stream()
+                        .filter(t -> t.acceptsRequests(now))
+                        .toList();
+        PickRequest request =
+                PickRequest.of(
+                        mKey, mSharedTokens, mContext.fleetState().shardTables().table(a.pool()));
+        return BoundedLoadPicker.home(request, accepting);
+    }
+
+    /** Returns whether all targets of the pool may serve the request. */
+    boolean allowsWholePool(Admission a) {
+        return allowedTargets(a).size() == mContext.fleetState().targets().pool(a.pool()).size();
+    }
+
+    boolean requiresSoftware() {
+        return mRequiredSoftware.isPresent();
+    }
+
+    /** Returns whether this router knows a target that has processed the prompt. */
+    boolean isHolderKnown() {
+        return mContext.fleetState().holders().hasHolder(mKeyHash, mContext.now());
+    }
+
+    /** Returns the lengths and hashes of the prompt's shared parts. */
+    PromptPlacements.PromptParts promptParts() {
+        List<Prompt.Part> shared = mPrompt.map(Prompt::sharedParts).orElse(List.of());
+        Prompt.Part head = shared.isEmpty() ? new Prompt.Part(mKey, 0) : shared.get(0);
+        return new PromptPlacements.PromptParts(
+                mKeyHash,
+                Hashes.of(head.id()),
+                head.tokens(),
+                mSharedTokens,
+                mPrompt.map(Prompt::tokens).orElse(0L));
+    }
+
     /** Allows targets to be selected again that the request was already sent to. */
     void clearTried() {
         mTried.clear();
