--- a/forkseam-core/src/test/java/org/forkseam/core/place/PlacementPolicyTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/place/PlacementPolicyTest.java
@@ -49,9 +49,12 @@
     void promptsOfAHomeThatStartedRecentlyArePlaced() {
         mPolicy.setWarm(POOL, true);
         mPolicy.onRequest(POOL, 0);
+        assertThat(mPolicy.isActive(POOL, 49_999)).isFalse();
         mPolicy.onEngineStarted("other", 50_000);
         assertThat(mPolicy.isToBePlaced(REQUEST, 50_001)).isFalse();
         mPolicy.onEngineStarted("home", 50_000);
+        assertThat(mPolicy.isActive(POOL, 57_999)).isTrue();
+        assertThat(mPolicy.isActive(POOL, 58_000)).isFalse();
         assertThat(mPolicy.isToBePlaced(REQUEST, 57_999)).isTrue();
         assertThat(mPolicy.isToBePlaced(REQUEST, 58_000)).isFalse();
     }
