--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestMeters.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestMeters.java
@@ -43,6 +43,7 @@
     private final Map<String, Counter> mStreamsResumed = new HashMap<>();
     private final Map<String, Counter> mSecondAttempts = new HashMap<>();
     private final Map<String, Counter> mSecondAttemptsWithheld = new HashMap<>();
+    private final Map<String, Counter> mPlacements = new HashMap<>();
     private final LatencyHistogram mFirstByte = new LatencyHistogram();
     private final LatencyHistogram mTotal = new LatencyHistogram();
     private Optional<MeterRegistry> mRegistry = Optional.empty();
@@ -60,6 +61,7 @@
                 (k, c) -> c.register("forkseam.second_attempts", "reason", k, registry));
         mSecondAttemptsWithheld.forEach(
                 (k, c) -> c.register("forkseam.second_attempts.withheld", "reason", k, registry));
+        mPlacements.forEach((k, c) -> c.register("forkseam.placements", "result", k, registry));
         mFirstByte.bind(
                 registry, "forkseam.first_byte", "from a request to the first byte of its answer");
         mTotal.bind(registry, "forkseam.request", "from a request to the end of its answer");
@@ -110,6 +112,11 @@
         count(mStreamsResumed, "forkseam.streams.resumed", "origin", origin);
     }
 
+    /** Counts a prompt for which a coordinator was asked, by result. */
+    void onPlacement(String result) {
+        count(mPlacements, "forkseam.placements", "result", result);
+    }
+
     void onHeldForTarget() {
         count(mAttempts, "forkseam.attempts", "end", "HELD_FOR_TARGET");
     }
