Keep a derived value out of the JSON form of pools

Ruled out: an annotation, as the core has no dependency on Jackson. Change: the method is named hasScarceMemory.

--- a/forkseam-core/src/main/java/org/forkseam/core/traffic/Pool.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/traffic/Pool.java
@@ -23,8 +23,11 @@
         return new Pool(name, maxConnections, engine, ColdStart.NONE, 0);
     }
 
-    /** Returns whether an engine's memory is too small for large prompts in all of its slots. */
-    public boolean isMemoryConstrained() {
+    /**
+     * Returns whether an engine's memory is too small for large prompts in all of its slots. Not
+     * named like a property, since routers exchange pools as JSON.
+     */
+    public boolean hasScarceMemory() {
         return cacheTokensPerSlot > 0 && cacheTokensPerSlot < LARGE_PROMPT_TOKENS;
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -223,7 +223,7 @@
     /** Returns whether a pool's callers may ask for more than its targets can serve. */
     boolean isContended(String pool) {
         return mContended
-                || mFleetState.config().pool(pool).filter(Pool::isMemoryConstrained).isPresent();
+                || mFleetState.config().pool(pool).filter(Pool::hasScarceMemory).isPresent();
     }
 
     boolean isDraining() {
