Do not take a target for silent while its response is not read

Cause: while a caller reads slowly, the router stops reading from the target. The silence that follows was counted: after 1.2 s a resumable stream was abandoned and sent to another target, the first one counted as failing, and a target with paused streams only counted as stuck. Ruled out: longer pauses, as a caller may read as slowly as it likes until its deadline. Change: the time in which reading is paused does not count, for the attempt and for its target; silence starts again when reading resumes.

--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -28,6 +28,7 @@
     private TargetEntry mEntry;
     private long mSoftwareKey;
     private int mInFlight;
+    private int mPaused;
     private int mOthersInFlight;
     private int mReportedLoad;
     private long mLoadReportedAt = NEVER;
@@ -190,7 +191,7 @@
 
     /** Records a request sent by this router. */
     public void onRequestSent(long nowMillis) {
-        if (mInFlight == 0) {
+        if (mInFlight == mPaused) {
             mBusySince = nowMillis;
         }
         mInFlight++;
@@ -201,6 +202,19 @@
         mInFlight--;
     }
 
+    /** Records that a response of this target is not read because its caller is slow. */
+    public void onReadingPaused() {
+        mPaused++;
+    }
+
+    /** Records that such a response is read again or has ended. */
+    public void onReadingResumed(long nowMillis) {
+        if (mInFlight == mPaused) {
+            mBusySince = nowMillis;
+        }
+        mPaused--;
+    }
+
     /** Records that the target sent data. */
     public void onDataReceived(long nowMillis) {
         mLastReceivedAt = nowMillis;
@@ -279,9 +293,9 @@
 
     /**
      * Returns how long the target has had requests of this router without sending data, in
-     * milliseconds.
+     * milliseconds. Requests whose responses are not read do not count.
      */
     public long silentMillis(long nowMillis) {
-        return mInFlight == 0 ? 0 : nowMillis - Math.max(mLastReceivedAt, mBusySince);
+        return mInFlight == mPaused ? 0 : nowMillis - Math.max(mLastReceivedAt, mBusySince);
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -52,6 +52,8 @@
     private HttpResponse mHead;
     private ResponseHead mDecodedHead;
     private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
+    private boolean mPaused;
+    private long mResumedAt;
     private boolean mStreamStarted;
     private boolean mEnded;
     private long mSentAt;
@@ -88,6 +90,7 @@
             return;
         }
         mEnded = true;
+        endPause();
         mTarget.onRequestEnded();
         if (isSent()
                 && mLastReceivedAt == 0
@@ -131,9 +134,15 @@
         return isSent() ? now - mSentAt : 0;
     }
 
-    /** Returns how long the target has sent nothing for this request. */
+    /**
+     * Returns how long the target has sent nothing for this request; 0 while nothing is read
+     * because the caller is slow.
+     */
     long silentMillis(long now) {
-        return isSent() ? now - Math.max(mSentAt, mLastReceivedAt) : 0;
+        if (!isSent() || mPaused) {
+            return 0;
+        }
+        return now - Math.max(Math.max(mSentAt, mLastReceivedAt), mResumedAt);
     }
 
     /** Returns the time since the response head arrived, or 0 before it. */
@@ -145,9 +154,25 @@
         return now - mStarted;
     }
 
+    /** Pauses or resumes reading from the target, as the caller accepts data. */
     void setAutoRead(boolean autoRead) {
-        if (mConnection != null && !mEnded) {
-            mConnection.setAutoRead(autoRead);
+        if (mConnection == null || mEnded) {
+            return;
+        }
+        mConnection.setAutoRead(autoRead);
+        if (autoRead) {
+            endPause();
+        } else if (!mPaused) {
+            mPaused = true;
+            mTarget.onReadingPaused();
+        }
+    }
+
+    private void endPause() {
+        if (mPaused) {
+            mPaused = false;
+            mResumedAt = mContext.now();
+            mTarget.onReadingResumed(mResumedAt);
         }
     }
 
@@ -382,6 +407,7 @@
             return;
         }
         mEnded = true;
+        endPause();
         mTarget.onRequestEnded();
         mListener.onAttemptEnded(this, result);
     }
