Hold at most one response for a caller that does not read

Cause: a caller that sends requests one after another without reading had all responses collected in the router: the next request began although the previous response was not accepted. Ruled out: the limit of 16 requests a connection, which counts only those not yet begun. Change: the next request begins when the connection accepts data again. unsent_bytes in the dump shows what callers have not accepted.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -112,8 +113,12 @@
         startNext();
     }
 
+    /**
+     * Starts the next request once the previous response is mostly accepted, so that callers that
+     * do not read their responses do not fill the router's memory.
+     */
     private void startNext() {
-        if (mFlow != null || mClosing) {
+        if (mFlow != null || mClosing || !isWritable()) {
             return;
         }
         CallerRequest request = mQueue.poll();
@@ -214,6 +219,8 @@
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (mFlow != null) {
             mFlow.onWritabilityChanged(isWritable());
+        } else if (isWritable()) {
+            startNext();
         }
     }
 
@@ -245,6 +252,12 @@
         return slowHead || idle;
     }
 
+    /** Returns the number of response bytes that the caller has not accepted yet. */
+    long unsentBytes() {
+        ChannelOutboundBuffer b = mChannel.channel().unsafe().outboundBuffer();
+        return b == null ? 0 : b.totalPendingWriteBytes();
+    }
+
     /** Closes the connection if no request is active. */
     void closeIfIdle() {
         if (mFlow == null && mRequestStartedAt == 0 && !mClosing) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -230,6 +230,7 @@
         m.put("waiting", mContext.requestQueue().size());
         m.put("loop_late_ms", mContext.loopLag().lagMillis());
         m.put("callers", mContext.connections().size());
+        m.put("unsent_bytes", unsentBytes());
         m.put("target_connections", mContext.targetConnections().openCount());
         m.put("target_connections_opened", mContext.targetConnections().openedCount());
         m.put("cold_passed_over", mContext.coldStartLimiter().skipped());
@@ -242,6 +243,10 @@
         return m;
     }
 
+    private long unsentBytes() {
+        return mContext.connections().stream().mapToLong(CallerConnection::unsentBytes).sum();
+    }
+
     private Object dump(Target t) {
         long now = mContext.now();
         Map<String, Object> m = new LinkedHashMap<>();
--- a/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
@@ -56,6 +56,11 @@
             out.flush();
         }
 
+        /** Limits how many bytes the kernel holds for the peer. */
+        public void setSendBufferSize(int bytes) throws IOException {
+            mSocket.setSendBufferSize(bytes);
+        }
+
         /** Resets the connection. */
         public void reset() throws IOException {
             mSocket.setSoLinger(true, 0);
