--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -24,9 +24,15 @@
  * buffered until complete, so that a failed one can be replaced by a retry.
  */
 final class Attempt implements ConnectionCallback, ResponseListener {
-    /** Larger response bodies count as malformed. */
+    /** Larger response bodies and events count as malformed. */
     private static final int MAX_BODY_BYTES = 16 << 20;
 
+    /**
+     * Size from which events are forwarded before a read is complete, so that reading pauses early
+     * if the caller is slow: a read may yield a megabyte.
+     */
+    private static final int MAX_BATCH_BYTES = 64 << 10;
+
     /**
      * If an attempt is cancelled without any response for this long, the network may have silently
      * dropped the connection. Idle connections to the same target are then closed, since they may
@@ -46,6 +52,8 @@
     private HttpResponse mHead;
     private ResponseHead mDecodedHead;
     private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
+    private boolean mPaused;
+    private long mResumedAt;
     private boolean mStreamStarted;
     private boolean mEnded;
     private long mSentAt;
@@ -82,6 +90,7 @@
             return;
         }
         mEnded = true;
+        endPause();
         mTarget.onRequestEnded();
         if (isSent()
                 && mLastReceivedAt == 0
@@ -125,9 +134,15 @@
         return isSent() ? now - mSentAt : 0;
     }
 
-    /** Returns how long the target has sent nothing for this request. */
+    /**
+     * Returns how long the target has sent nothing for this request; 0 while nothing is read
+     * because the caller is slow.
+     */
     long silentMillis(long now) {
-        return isSent() ? now - Math.max(mSentAt, mLastReceivedAt) : 0;
+        if (!isSent() || mPaused) {
+            return 0;
+        }
+        return now - Math.max(Math.max(mSentAt, mLastReceivedAt), mResumedAt);
     }
 
     /** Returns the time since the response head arrived, or 0 before it. */
@@ -139,9 +154,25 @@
         return now - mStarted;
     }
 
+    /** Pauses or resumes reading from the target, as the caller accepts data. */
     void setAutoRead(boolean autoRead) {
-        if (mConnection != null && !mEnded) {
-            mConnection.setAutoRead(autoRead);
+        if (mConnection == null || mEnded) {
+            return;
+        }
+        mConnection.setAutoRead(autoRead);
+        if (autoRead) {
+            endPause();
+        } else if (!mPaused) {
+            mPaused = true;
+            mTarget.onReadingPaused();
+        }
+    }
+
+    private void endPause() {
+        if (mPaused) {
+            mPaused = false;
+            mResumedAt = mContext.now();
+            mTarget.onReadingResumed(mResumedAt);
         }
     }
 
@@ -250,22 +281,33 @@
             return;
         }
         if (mStream && isSuccess()) {
-            mSplitter.add(bytes);
+            onStreamBytes(bytes);
             return;
         }
-        mBody =
-                mBody.isReadable()
-                        ? Unpooled.copiedBuffer(mBody, bytes)
-                        : Unpooled.copiedBuffer(bytes);
+        if (!mBody.isReadable()) {
+            mBody = Unpooled.buffer(bytes.readableBytes());
+        }
+        mBody.writeBytes(bytes);
         if (mBody.readableBytes() > MAX_BODY_BYTES) {
-            mConnection.abort();
-            end(
-                    AttemptResult.of(
-                            AttemptResult.Kind.MALFORMED,
-                            "response body exceeds byte limit " + MAX_BODY_BYTES));
+            abortMalformed("response body exceeds byte limit " + MAX_BODY_BYTES);
+        }
+    }
+
+    private void onStreamBytes(ByteBuf bytes) {
+        mSplitter.add(bytes);
+        if (mSplitter.bufferedBytes() >= MAX_BATCH_BYTES) {
+            onReadComplete();
+        }
+        if (!mEnded && mSplitter.bufferedBytes() > MAX_BODY_BYTES) {
+            abortMalformed("event exceeds byte limit " + MAX_BODY_BYTES);
         }
     }
 
+    private void abortMalformed(String detail) {
+        mConnection.abort();
+        end(AttemptResult.of(AttemptResult.Kind.MALFORMED, detail));
+    }
+
     /**
      * Forwards all complete events of one read in a single write, which reduces the cost per event.
      */
@@ -365,6 +407,7 @@
             return;
         }
         mEnded = true;
+        endPause();
         mTarget.onRequestEnded();
         mListener.onAttemptEnded(this, result);
     }
