Send requests to a known holder while their home may be empty

Cause: while a pool is cold, a request whose prompt another engine holds went to its home, which copied the prompt behind those placed on it. Change: PlacementPolicy.prefersHolder; after the cold period requests return to the home, which copies the prompt, since routers that restart look for it there.

--- a/forkseam-core/src/test/java/org/forkseam/core/place/PlacingRouters.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/place/PlacingRouters.java
@@ -120,15 +120,19 @@
                         false);
         boolean paused = mPool.now() < router.mPausedUntil.getOrDefault(group, 0.0);
         if (!mCoordinated || paused || !router.mPolicy.isToBePlaced(facts, now)) {
-            sendHome(r, router);
+            sendHome(r, router, mCoordinated && router.mPolicy.prefersHolder(facts, now));
             return;
         }
         query(r, router, group, home);
     }
 
-    private void sendHome(PoolModel.Request r, RouterModel router) {
+    private void sendHome(PoolModel.Request r, RouterModel router, boolean prefersHolder) {
         int home = home(r.key().hash());
         int holder = router.mHolders.getOrDefault(r.key().hash(), home);
+        if (prefersHolder) {
+            mPool.send(r, engine(holder), null);
+            return;
+        }
         mPool.send(r, engine(home), holder == home ? null : engine(holder));
     }
 
@@ -162,7 +166,7 @@
                     if (!done[0]) {
                         done[0] = true;
                         router.mPausedUntil.put(group, mPool.now() + PAUSE_MILLIS);
-                        sendHome(r, router);
+                        sendHome(r, router, false);
                     }
                 });
     }
