--- a/forkseam-core/src/main/java/org/forkseam/core/place/PlacementPolicy.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/place/PlacementPolicy.java
@@ -96,20 +96,7 @@
 
     /** Returns whether to ask the coordinator for an engine. */
     public boolean isToBePlaced(Request r, long nowMillis) {
-        return !r.holderKnown() && mayBeUncached(r, nowMillis);
-    }
-
-    /**
-     * Returns whether to send a request to the known holder of its prompt instead of its home:
-     * while the home may be empty, it would have to copy the prompt behind the prompts placed on
-     * it.
-     */
-    public boolean prefersHolder(Request r, long nowMillis) {
-        return r.holderKnown() && mayBeUncached(r, nowMillis);
-    }
-
-    private boolean mayBeUncached(Request r, long nowMillis) {
-        if (!r.contended() || r.sharedTokens() == 0 || r.softwareRequired()) {
+        if (!r.contended() || r.sharedTokens() == 0 || r.softwareRequired() || r.holderKnown()) {
             return false;
         }
         return isCold(r.pool(), nowMillis) || hasStartedRecently(r.homeId(), nowMillis);
--- a/forkseam-core/src/main/java/org/forkseam/core/route/Pick.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/Pick.java
@@ -15,7 +15,7 @@
     public enum Reason {
         /** It is the first in the order of preference. */
         HOME,
-        /** A coordinator selected it, or it holds the prompt while the home may be empty. */
+        /** A coordinator selected it. */
         PLACED,
         /** Those preferred were over their load bound. */
         SPILL,
--- a/forkseam-core/src/main/java/org/forkseam/core/route/PickRequest.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/route/PickRequest.java
@@ -12,8 +12,7 @@
  * @param shards the pool's shards
  * @param idleTargets number of healthy targets that currently get no work and are not candidates;
  *     they count in the pool's mean load with a load of zero
- * @param placed target that a coordinator selected or that holds the prompt, which is picked within
- *     its load bound
+ * @param placed target that a coordinator has selected, which is picked within its load bound
  * @since 0.2
  */
 public record PickRequest(
--- a/forkseam-core/src/test/java/org/forkseam/core/place/PlacementPolicyTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/place/PlacementPolicyTest.java
@@ -35,17 +35,6 @@
         assertThat(mPolicy.isToBePlaced(request(true, 600, false, true), 1)).isFalse();
     }
 
-    /** The home would copy the prompt behind others while the holder can answer at once. */
-    @Test
-    void holderIsPreferredOnlyWhileTheHomeMayBeEmpty() {
-        PlacementPolicy.Request known = request(true, 600, true, false);
-        mPolicy.onRequest(POOL, 0);
-        assertThat(mPolicy.prefersHolder(known, 1)).isTrue();
-        assertThat(mPolicy.prefersHolder(REQUEST, 1)).isFalse();
-        assertThat(mPolicy.prefersHolder(request(false, 600, true, false), 1)).isFalse();
-        assertThat(mPolicy.prefersHolder(known, 8_000)).isFalse();
-    }
-
     /** A router that starts later must not query for prompts that the engines hold. */
     @Test
     void poolOnRecordIsNotPlaced() {
--- a/forkseam-core/src/test/java/org/forkseam/core/place/PlacingRouters.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/place/PlacingRouters.java
@@ -120,19 +120,15 @@
                         false);
         boolean paused = mPool.now() < router.mPausedUntil.getOrDefault(group, 0.0);
         if (!mCoordinated || paused || !router.mPolicy.isToBePlaced(facts, now)) {
-            sendHome(r, router, mCoordinated && router.mPolicy.prefersHolder(facts, now));
+            sendHome(r, router);
             return;
         }
         query(r, router, group, home);
     }
 
-    private void sendHome(PoolModel.Request r, RouterModel router, boolean prefersHolder) {
+    private void sendHome(PoolModel.Request r, RouterModel router) {
         int home = home(r.key().hash());
         int holder = router.mHolders.getOrDefault(r.key().hash(), home);
-        if (prefersHolder) {
-            mPool.send(r, engine(holder), null);
-            return;
-        }
         mPool.send(r, engine(home), holder == home ? null : engine(holder));
     }
 
@@ -166,7 +162,7 @@
                     if (!done[0]) {
                         done[0] = true;
                         router.mPausedUntil.put(group, mPool.now() + PAUSE_MILLIS);
-                        sendHome(r, router, false);
+                        sendHome(r, router);
                     }
                 });
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/PromptPlacement.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/PromptPlacement.java
@@ -33,20 +33,11 @@
      * @param next continues the request, before this method returns if no reply is awaited
      */
     void find(Admission a, Runnable next) {
-        Optional<Target> home = homeIfContended(a);
+        Optional<Target> home = homeIfToBePlaced(a);
         if (home.isEmpty()) {
             next.run();
             return;
         }
-        PlacementPolicy policy = mContext.fleetState().placementPolicy();
-        PlacementPolicy.Request facts = facts(a, home.get());
-        if (policy.prefersHolder(facts, mContext.now())) {
-            mTargetSelection.preferHolder(home.get());
-        }
-        if (!policy.isToBePlaced(facts, mContext.now())) {
-            next.run();
-            return;
-        }
         mContext.fleetState()
                 .placements()
                 .place(
@@ -59,8 +50,8 @@
                         });
     }
 
-    /** Returns the home of a prompt that may have to be placed. */
-    private Optional<Target> homeIfContended(Admission a) {
+    /** Returns the home of a prompt that a coordinator places; empty if none does. */
+    private Optional<Target> homeIfToBePlaced(Admission a) {
         boolean engine = a.config().pool(a.pool()).filter(Pool::engine).isPresent();
         if (!engine || !mContext.isContended(a.pool())) {
             return Optional.empty();
@@ -71,17 +62,19 @@
         if (!policy.isActive(a.pool(), now) || !mTargetSelection.allowsWholePool(a)) {
             return Optional.empty();
         }
-        return mTargetSelection.home(a);
-    }
-
-    private PlacementPolicy.Request facts(Admission a, Target home) {
-        return new PlacementPolicy.Request(
-                a.pool(),
-                true,
-                mTargetSelection.sharedTokens(),
-                home.entry().id(),
-                mTargetSelection.isHolderKnown(),
-                mTargetSelection.requiresSoftware());
+        return mTargetSelection
+                .home(a)
+                .filter(
+                        h ->
+                                policy.isToBePlaced(
+                                        new PlacementPolicy.Request(
+                                                a.pool(),
+                                                true,
+                                                mTargetSelection.sharedTokens(),
+                                                h.entry().id(),
+                                                mTargetSelection.isHolderKnown(),
+                                                mTargetSelection.requiresSoftware()),
+                                        now));
     }
 
     /** Records which target the request is sent to, and counts the result of the placement once. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetSelection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetSelection.java
@@ -39,7 +39,6 @@
     private Optional<String> mCopySource = Optional.empty();
     private OptionalLong mRequiredSoftware = OptionalLong.empty();
     private Optional<PromptPlacements.Result> mPlacement = Optional.empty();
-    private Optional<Target> mPreferred = Optional.empty();
 
     TargetSelection(RouterContext context, CallerRequest request) {
         mContext = context;
@@ -162,7 +161,7 @@
                         mSharedTokens,
                         mContext.fleetState().shardTables().table(pool),
                         idle,
-                        mPreferred);
+                        mPlacement.flatMap(PromptPlacements.Result::engine));
         Optional<Pick> pick = picker(admission).pick(request, c.targets(), now);
         pick.ifPresent(p -> onPick(pool, p, cold, now));
         return pick;
@@ -288,18 +287,6 @@
     /** Prefers the engine that a coordinator has selected. */
     void onPlaced(PromptPlacements.Result placement) {
         mPlacement = Optional.of(placement);
-        mPreferred = placement.engine();
-    }
-
-    /** Prefers the newest known holder of the prompt unless the home holds it as well. */
-    void preferHolder(Target home) {
-        long now = mContext.now();
-        PromptHolderIndex holders = mContext.fleetState().holders();
-        if (holders.isHolder(mKeyHash, home.incarnation(), now)) {
-            return;
-        }
-        mPreferred =
-                holders.copySource(mKeyHash, home, List.of(), mContext.fleetState().targets(), now);
     }
 
     /** Returns the first target in the key's order of preference that accepts requests. */
