--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -243,6 +243,11 @@
         return nowMillis < mFullUntil;
     }
 
+    /** Returns the time until which the target is skipped after it refused a request as full. */
+    public long fullUntil() {
+        return mFullUntil;
+    }
+
     /** Returns the number of requests in flight from this router. */
     public int inFlight() {
         return mInFlight;
