Ask for admission before selecting a target in a contended pool

Cause: requests to a full pool were sent to full targets, or refused after two full targets within a millisecond although slots become free every few milliseconds; nothing told callers that the pool is short of capacity.

Ruled out: a queue in RequestFlow, which would not order requests by priority; admission for streams that have begun, which would break them off.

Change: PoolAdmissions decides, holds requests while all candidates are full, begins them in order when a back-off ends or an answer of this router ends, and refuses the rest as not run with a retry delay (refused_shortage, refused_full). Full targets get nothing while another has room. Counters and a gauge, lines shortage_began and shortage_ended, admission in the dump. Requests of pools that are not contended have no ticket and take the same path as before.

--- a/forkseam-core/src/main/java/org/forkseam/core/admit/Decision.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/admit/Decision.java
@@ -1,7 +1,5 @@
 package org.forkseam.core.admit;
 
-import java.util.Locale;
-
 /**
  * Decision about a request that asks for admission to a pool.
  *
@@ -31,11 +29,6 @@
         /** The request is not in the share of requests that are begun. */
         SHARE,
         /** No target has room soon enough, or the hold queue is full. */
-        FULL;
-
-        /** Returns the name used in responses, logs and metrics. */
-        public String label() {
-            return name().toLowerCase(Locale.ROOT);
-        }
+        FULL
     }
 }
--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -238,6 +238,11 @@
         mFullUntil = nowMillis + FULL_BACKOFF_MILLIS;
     }
 
+    /** Records that the target has ended a request and therefore has room for another. */
+    public void onRoomObserved() {
+        mFullUntil = 0;
+    }
+
     /** Returns whether the target recently refused a request because it was full. */
     public boolean isFull(long nowMillis) {
         return nowMillis < mFullUntil;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/FailureResponder.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/FailureResponder.java
@@ -1,5 +1,7 @@
 package org.forkseam.direct.flow;
 
+import org.forkseam.core.admit.Decision;
+
 import java.util.OptionalLong;
 
 /**
@@ -68,6 +70,14 @@
         }
     }
 
+    /** Sends the final response of a request that was not admitted to a contended pool. */
+    void respondRejected(Decision.Reject rejection, Admission a, boolean streaming) {
+        String reason = rejection.cause() == Decision.Cause.FULL ? "full" : "shortage";
+        if (!failIfMayHaveRun(reason, a, streaming)) {
+            mResponse.refuse(reason, rejection.retryAfterMillis());
+        }
+    }
+
     /** Reports a failure if the request may have run; returns false otherwise. */
     private boolean failIfMayHaveRun(String reason, Admission a, boolean streaming) {
         if (streaming) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 
+import org.forkseam.core.admit.Decision;
 import org.forkseam.core.crash.RequestFingerprints;
 import org.forkseam.core.member.Target;
 import org.forkseam.core.outcome.SlidingWindowRetryBudget;
@@ -16,6 +17,7 @@
 import org.forkseam.direct.know.StreamOrigins;
 import org.forkseam.direct.spi.ForwardingInfo;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -26,7 +28,8 @@
  * <p>At most one attempt is active at a time; {@link AttemptTracker} decides about further
  * attempts.
  */
-final class RequestFlow implements AttemptListener, RequestQueue.QueuedRequest {
+final class RequestFlow
+        implements AttemptListener, RequestQueue.QueuedRequest, PoolAdmissions.Applicant {
     /** Maximum wait for the first configuration after a start; then the request is refused. */
     private static final long CONFIG_WAIT_MILLIS = 600;
 
@@ -51,6 +54,7 @@
     private boolean mDone;
     private String mLastEventId;
     private Optional<ResumableStream> mResumable = Optional.empty();
+    private Optional<PoolAdmissions.Ticket> mTicket = Optional.empty();
 
     RequestFlow(RouterContext context, CallerRequest request, ResponseSink sink) {
         mContext = context;
@@ -175,6 +179,58 @@
             refuseOrRequestTrial();
             return;
         }
+        if (mContext.isContended(pool()) && !mStreaming) {
+            mContext.admissions().decide(ticket());
+            return;
+        }
+        begin();
+    }
+
+    // ---------------------------------------------------------------- contended pools
+
+    private PoolAdmissions.Ticket ticket() {
+        if (mTicket.isEmpty()) {
+            mTicket =
+                    Optional.of(
+                            mContext.admissions()
+                                    .ticket(mAdmission, mRequest.receivedMillis(), this));
+        }
+        return mTicket.get();
+    }
+
+    @Override
+    public List<Target> candidates() {
+        return mTargetSelection.admissionCandidates(mAdmission);
+    }
+
+    @Override
+    public void reject(Decision.Reject rejection) {
+        mFailureResponder.respondRejected(rejection, mAdmission, mStreaming);
+    }
+
+    /** Reports the result of an attempt to the admission of a contended pool. */
+    private void recordForAdmission(PoolAdmissions.Ticket t, Attempt a, AttemptResult result) {
+        if (result.kind() == AttemptResult.Kind.REFUSED) {
+            if (a.target().acceptsRequests(mContext.now())) {
+                mTargetSelection.clearTried(a.target());
+                mContext.admissions().onFull(t);
+            }
+            return;
+        }
+        if (result.kind() != AttemptResult.Kind.ANSWERED || a.isRateLimited()) {
+            return;
+        }
+        if (!mStreaming) {
+            mContext.admissions().onAnswered(t);
+        }
+        mContext.admissions().onSlotFreed(t, a.target());
+    }
+
+    // ---------------------------------------------------------------- selection
+
+    /** Selects a target and starts an attempt. */
+    @Override
+    public void begin() {
         Optional<Pick> pick = mTargetSelection.selectNext(mAdmission);
         if (pick.isEmpty()) {
             waitForTargetOrFail();
@@ -258,6 +314,7 @@
         long now = mContext.now();
         mContext.meters().onAttempt(result.kind().name());
         result.recordOn(a.target(), mContext.errorRate(pool()), now);
+        mTicket.ifPresent(t -> recordForAdmission(t, a, result));
         boolean answered = result.kind() == AttemptResult.Kind.ANSWERED && !a.isRateLimited();
         mQuarantineCheck.onAttemptEnd(
                 result.kind().mayHaveRun(), answered, answered && a.isCertainlyServed());
@@ -331,6 +388,7 @@
         }
         mStreaming = true;
         mContext.meters().onFirstByte(mContext.now() - mRequest.receivedMillis());
+        mTicket.ifPresent(mContext.admissions()::onAnswered);
         mSink.writeHead(mContext.responses().streamHead(a.head()));
     }
 
@@ -435,6 +493,9 @@
     }
 
     private void onDeadline(long readUntil) {
+        if (!mStreaming) {
+            mTicket.ifPresent(mContext.admissions()::onExpired);
+        }
         if (mAttempt != null) {
             Attempt a = mAttempt;
             mAttempt = null;
@@ -483,6 +544,7 @@
     private void onFinished(String outcome) {
         mDone = true;
         mContext.activeRequests().remove(this);
+        mTicket.ifPresent(mContext.admissions()::remove);
         Optional<Admission> admitted = Optional.ofNullable(mAdmission);
         mLogger.onEnd(
                 outcome,
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestMeters.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestMeters.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.flow;
 
 import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
@@ -16,6 +17,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
 
 /**
  * Meters for requests and attempts. Used on the event loop.
@@ -41,6 +43,8 @@
     private final Map<String, Counter> mAttempts = new HashMap<>();
     private final Map<String, Counter> mRetries = new HashMap<>();
     private final Map<String, Counter> mStreamsResumed = new HashMap<>();
+    private final Map<String, Counter> mAdmissions = new HashMap<>();
+    private final Map<String, DoubleSupplier> mAdmissionShares = new HashMap<>();
     private final LatencyHistogram mFirstByte = new LatencyHistogram();
     private final LatencyHistogram mTotal = new LatencyHistogram();
     private Optional<MeterRegistry> mRegistry = Optional.empty();
@@ -53,6 +57,8 @@
         mRetries.forEach((k, c) -> c.register("forkseam.retries", "budget", k, registry));
         mStreamsResumed.forEach(
                 (k, c) -> c.register("forkseam.streams.resumed", "origin", k, registry));
+        mAdmissions.forEach((k, c) -> c.register("forkseam.admission", "decision", k, registry));
+        mAdmissionShares.forEach((pool, share) -> registerShare(pool, share, registry));
         mFirstByte.bind(
                 registry, "forkseam.first_byte", "from a request to the first byte of its answer");
         mTotal.bind(registry, "forkseam.request", "from a request to the end of its answer");
@@ -90,6 +96,24 @@
         count(mStreamsResumed, "forkseam.streams.resumed", "origin", origin);
     }
 
+    /** Counts a decision about the admission of a request to a contended pool. */
+    void onAdmission(String decision) {
+        count(mAdmissions, "forkseam.admission", "decision", decision);
+    }
+
+    /** Adds a gauge of the admitted share of a contended pool. */
+    void addAdmissionShare(String pool, DoubleSupplier share) {
+        mAdmissionShares.put(pool, share);
+        mRegistry.ifPresent(r -> registerShare(pool, share, r));
+    }
+
+    private static void registerShare(String pool, DoubleSupplier share, MeterRegistry registry) {
+        Gauge.builder("forkseam.admission.share", share, DoubleSupplier::getAsDouble)
+                .tag("pool", pool)
+                .strongReference(true)
+                .register(registry);
+    }
+
     void onHeldForTarget() {
         count(mAttempts, "forkseam.attempts", "end", "HELD_FOR_TARGET");
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -17,6 +17,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 
 /** State shared by all requests of a router. Used on the event loop. */
 final class RouterContext {
@@ -39,6 +40,7 @@
     private final Set<RequestFlow> mActiveRequests = new LinkedHashSet<>();
     private final Set<CallerConnection> mConnections = new LinkedHashSet<>();
     private final DecisionLog mDecisions = DecisionLog.of(DecisionLog.DEFAULT_SIZE);
+    private final PoolAdmissions mAdmissions;
     private boolean mContended;
     private boolean mDraining;
 
@@ -73,7 +75,8 @@
             RequestMeters meters,
             ArrivalTracker arrivalTracker,
             RequestQueue.LoopScheduler loopScheduler,
-            ReadBarrier readBarrier) {}
+            ReadBarrier readBarrier,
+            RandomGenerator random) {}
 
     private RouterContext(Parts p) {
         mClock = p.clock();
@@ -90,6 +93,7 @@
         mRequestQueue = new RequestQueue(mClock, mArrivalTracker, p.loopScheduler());
         mLoopLag = new EventLoopLag(ArrivalTracker.ITERATION_MILLIS, mClock.nowMillis());
         mReadBarrier = p.readBarrier();
+        mAdmissions = new PoolAdmissions(mClock, p.random(), mReadBarrier, mMeters);
     }
 
     static RouterContext of(Parts parts) {
@@ -150,6 +154,11 @@
         return mColdStartLimiter;
     }
 
+    /** Returns the admission to contended pools. */
+    PoolAdmissions admissions() {
+        return mAdmissions;
+    }
+
     CrashDetector crashDetector() {
         return mCrashDetector;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -105,7 +105,8 @@
                                 new RequestMeters(),
                                 new ArrivalTracker(clock, p.listener().openedMillis(clock)),
                                 loopScheduler(loop),
-                                ReadBarrier.of(loop)));
+                                ReadBarrier.of(loop),
+                                p.random()));
         mContext.setContended(mBounds.contended());
         mServer = new CallerServer(loop, mContext);
     }
@@ -237,6 +238,7 @@
         m.put("leaving", mContext.isDraining());
         m.put("retry_budgets", mContext.retryBudgets().usage(mContext.now()));
         m.put("retry_budget_routers", mContext.retryBudgets().routerCount().orElse(0));
+        m.put("admission", mContext.admissions().dump());
         m.put("targets", mFleetState.targets().all().stream().map(this::dump).toList());
         return m;
     }
@@ -298,6 +300,7 @@
      */
     private void check(long readUntil) {
         mContext.requestQueue().onTick();
+        mContext.admissions().onTick();
         List.copyOf(mContext.activeRequests()).forEach(f -> f.onTick(readUntil));
         if (isCleanupDue(readUntil)) {
             mLastCleanupMillis = readUntil;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetSelection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetSelection.java
@@ -75,6 +75,22 @@
                 .anyMatch(t -> t.acceptsRequests(now) && !mTried.contains(t.entry().id()));
     }
 
+    /**
+     * Returns the targets that may take the request in a contended pool, full or not. Those that
+     * refused it as full are included once they can have room again.
+     */
+    List<Target> admissionCandidates(Admission admission) {
+        long now = mContext.now();
+        return allowedTargets(admission).stream()
+                .filter(t -> t.acceptsRequests(now) && !mTried.contains(t.entry().id()))
+                .toList();
+    }
+
+    /** Allows a target to be selected again that refused the request as full. */
+    void clearTried(Target t) {
+        mTried.remove(t.entry().id());
+    }
+
     /** Selects a target that the request was not yet sent to. */
     Optional<Pick> selectNext(Admission admission) {
         List<Target> all = allowedTargets(admission);
@@ -112,7 +128,9 @@
         List<Target> admitted = mContext.coldStartLimiter().admissible(targets, cold, now);
         int idle = poolSize - admitted.size() + countPaused(admitted, now);
         CandidateFilter.Candidates c =
-                mContext.selectors().candidateFilter().apply(admitted, mTried, now);
+                mContext.selectors()
+                        .candidateFilter()
+                        .apply(withoutFullTargets(admitted, pool, now), mTried, now);
         PickRequest request =
                 new PickRequest(
                         mKey, mSharedTokens, mContext.fleetState().shardTables().table(pool), idle);
@@ -121,6 +139,15 @@
         return pick;
     }
 
+    /** Removes the targets of a contended pool that are full, if another one has room. */
+    private List<Target> withoutFullTargets(List<Target> targets, String pool, long now) {
+        if (!mContext.isContended(pool)) {
+            return targets;
+        }
+        List<Target> withRoom = targets.stream().filter(t -> !t.isFull(now)).toList();
+        return withRoom.isEmpty() ? targets : withRoom;
+    }
+
     /**
      * Returns the targets of the request's pool in the allowed regions, and of the required
      * software.
