--- a/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/Target.java
@@ -297,11 +297,21 @@
         mFullUntil = nowMillis + FULL_BACKOFF_MILLIS;
     }
 
+    /** Records that the target has ended a request and therefore has room for another. */
+    public void onRoomObserved() {
+        mFullUntil = 0;
+    }
+
     /** Returns whether the target recently refused a request because it was full. */
     public boolean isFull(long nowMillis) {
         return nowMillis < mFullUntil;
     }
 
+    /** Returns the time until which the target is skipped after it refused a request as full. */
+    public long fullUntil() {
+        return mFullUntil;
+    }
+
     /** Returns the number of requests in flight from this router. */
     public int inFlight() {
         return mInFlight;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestMeters.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestMeters.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.flow;
 
 import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
@@ -16,6 +17,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
 
 /**
  * Meters for requests and attempts. Used on the event loop.
@@ -44,6 +46,8 @@
     private final Map<String, Counter> mSecondAttempts = new HashMap<>();
     private final Map<String, Counter> mSecondAttemptsWithheld = new HashMap<>();
     private final Map<String, Counter> mPlacements = new HashMap<>();
+    private final Map<String, Counter> mAdmissions = new HashMap<>();
+    private final Map<String, DoubleSupplier> mAdmissionShares = new HashMap<>();
     private final LatencyHistogram mFirstByte = new LatencyHistogram();
     private final LatencyHistogram mTotal = new LatencyHistogram();
     private Optional<MeterRegistry> mRegistry = Optional.empty();
@@ -62,6 +66,8 @@
         mSecondAttemptsWithheld.forEach(
                 (k, c) -> c.register("forkseam.second_attempts.withheld", "reason", k, registry));
         mPlacements.forEach((k, c) -> c.register("forkseam.placements", "result", k, registry));
+        mAdmissions.forEach((k, c) -> c.register("forkseam.admission", "decision", k, registry));
+        mAdmissionShares.forEach((pool, share) -> registerShare(pool, share, registry));
         mFirstByte.bind(
                 registry, "forkseam.first_byte", "from a request to the first byte of its answer");
         mTotal.bind(registry, "forkseam.request", "from a request to the end of its answer");
@@ -117,6 +123,24 @@
         count(mPlacements, "forkseam.placements", "result", result);
     }
 
+    /** Counts a decision about the admission of a request to a contended pool. */
+    void onAdmission(String decision) {
+        count(mAdmissions, "forkseam.admission", "decision", decision);
+    }
+
+    /** Adds a gauge of the admitted share of a contended pool. */
+    void addAdmissionShare(String pool, DoubleSupplier share) {
+        mAdmissionShares.put(pool, share);
+        mRegistry.ifPresent(r -> registerShare(pool, share, r));
+    }
+
+    private static void registerShare(String pool, DoubleSupplier share, MeterRegistry registry) {
+        Gauge.builder("forkseam.admission.share", share, DoubleSupplier::getAsDouble)
+                .tag("pool", pool)
+                .strongReference(true)
+                .register(registry);
+    }
+
     void onHeldForTarget() {
         count(mAttempts, "forkseam.attempts", "end", "HELD_FOR_TARGET");
     }
