Show a router that stops while many long requests arrive

Direct memory runs out while bodies are collected, and each failed allocation waits on the event loop: the router answers nobody, its readiness check included, for 5 to 12 seconds.

--- a/review/standin/review/Main.java
+++ b/review/standin/review/Main.java
@@ -31,6 +31,7 @@
     private static Case caseOf(String name) {
         return switch (name) {
             case "crash" -> Crash::run;
+            case "burst" -> Burst::run;
             default -> throw new IllegalArgumentException(name);
         };
     }
