Show answers that a planned stop cuts while callers read them

A request counts as ended once its answer is handed to Netty, so that a router under SIGTERM exits 2.6 seconds later although callers that read slowly have not received the rest.

--- a/review/standin/review/Main.java
+++ b/review/standin/review/Main.java
@@ -32,6 +32,7 @@
         return switch (name) {
             case "crash" -> Crash::run;
             case "burst" -> Burst::run;
+            case "slow-reader" -> SlowReader::run;
             default -> throw new IllegalArgumentException(name);
         };
     }
