--- a/review/standin/review/Main.java
+++ b/review/standin/review/Main.java
@@ -22,7 +22,7 @@
         try (Record record = new Record(args[1]);
                 Fleet fleet = new Fleet()) {
             status = caseOf(args[0]).run(record, fleet, trouble) ? BROKEN : HELD;
-        } catch (Exception e) {
+        } catch (Exception | Error e) {
             e.printStackTrace();
         }
         System.exit(status);
