Log what ended a response's body, and where a stream would continue

Ruled out: the decision log alone, which holds 2,000 requests of one router and is lost with the process.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 
 import org.forkseam.core.member.Target;
 import org.forkseam.direct.io.ConnectionCallback;
@@ -125,6 +126,17 @@
         return mBody;
     }
 
+    /** Returns what marks the end of the response body, for logs; empty before the head. */
+    String bodyDelimiter() {
+        if (mHead == null) {
+            return "";
+        }
+        if (HttpUtil.isTransferEncodingChunked(mHead)) {
+            return "chunks";
+        }
+        return HttpConnection.isSelfDelimited(mHead) ? "length" : "close";
+    }
+
     EventSplitter splitter() {
         return mSplitter;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -56,6 +56,7 @@
     private boolean mHasEvents;
     private boolean mDone;
     private String mLastEventId;
+    private String mBodyDelimiter = "";
     private Optional<ResumableStream> mResumable = Optional.empty();
     private Optional<PoolAdmissions.Ticket> mTicket = Optional.empty();
 
@@ -328,6 +329,7 @@
         mQuarantineCheck.onAttemptEnd(
                 result.kind().mayHaveRun(), answered, answered && a.isCertainlyServed());
         updateLastEventId(a);
+        mBodyDelimiter = a.bodyDelimiter();
         if (result.kind() == AttemptResult.Kind.ANSWERED) {
             if (a.isServedUntilClose() && mFingerprints.hasParts()) {
                 mContext.crashDetector()
@@ -361,7 +363,11 @@
             return;
         }
         mLogger.onAttemptEnd(
-                a, result, mAttempts.sentCount(), mStallCheck.timeoutMillis(a, mAdmission));
+                a,
+                result,
+                mAttempts.sentCount(),
+                mStallCheck.timeoutMillis(a, mAdmission),
+                Optional.ofNullable(mLastEventId));
         if (mayRetry(result, mContext.now())) {
             startAttempt();
             return;
@@ -588,6 +594,7 @@
                         admitted.flatMap(Admission::team).map(Team::name).orElse(""),
                         mConfig == null ? 0 : mConfig.version(),
                         mAttempts.sentCount(),
+                        mBodyDelimiter,
                         mTargetSelection.copySource(),
                         mPlacement.placedBy()));
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestLogger.java
@@ -39,12 +39,17 @@
      */
     record Selection(String pool, Pick pick, String key, long sharedTokens) {}
 
-    /** Values logged together with a request's outcome. */
+    /**
+     * Values logged together with a request's outcome.
+     *
+     * @param bodyDelimiter what marks the end of the last attempt's response body
+     */
     record Summary(
             String route,
             String team,
             long config,
             int sent,
+            String bodyDelimiter,
             Optional<String> copySource,
             Optional<String> placedBy) {}
 
@@ -107,8 +112,14 @@
      *
      * @param sent number of attempts in which the request was sent
      * @param timeoutMillis time without data allowed to the attempt; empty if it is fixed
+     * @param lastEventId id of the event after which another attempt would continue
      */
-    void onAttemptEnd(Attempt a, AttemptResult result, int sent, OptionalLong timeoutMillis) {
+    void onAttemptEnd(
+            Attempt a,
+            AttemptResult result,
+            int sent,
+            OptionalLong timeoutMillis,
+            Optional<String> lastEventId) {
         addNote(
                 "attempt ended "
                         + result.kind()
@@ -125,10 +136,12 @@
                 .with("end", result.kind())
                 .with("may_have_run", result.kind().mayHaveRun())
                 .with("detail", result.detail())
+                .with("body_end", a.bodyDelimiter())
                 .with("sent", sent)
                 .with("age_ms", a.ageMillis(now()))
                 .with("target_share", a.target().health().trafficShare(now()));
         timeoutMillis.ifPresent(ms -> e.with("timeout_ms", ms));
+        lastEventId.ifPresent(id -> e.with("last_event", id));
         e.log();
     }
 
@@ -185,6 +198,7 @@
                         .with("team", s.team())
                         .with("config", s.config())
                         .with("sent", s.sent())
+                        .with("body_end", s.bodyDelimiter())
                         .with("took_ms", durationMillis);
         mRequest.head().resumes().ifPresent(id -> e.with("resumes", id));
         mBlamed.ifPresent(f -> e.with("blamed", Hashes.toHex(f)).with("blamed_part", partOf(f)));
