Keep the position of a stream over reads and attempts

Callers saw events a second time, older than those before, or a stream that was broken off although another target could continue it.

Cause: EventSplitter#lastEventId looked only at the bytes taken last. If they held no id (a comment, an event without one), RequestFlow kept the id with which the attempt had begun, the one an earlier attempt had reached, or none.

Ruled out: bytes lost between the splitter and the caller; the property over segments of EventSplitterTest holds, and what was forwarded is right.

Change: StreamPosition follows every forwarded byte, over all attempts and from where the caller comes back. StreamRelay owns it, with the head, so that RequestFlow no longer holds state of the stream.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -137,10 +137,6 @@
         return HttpConnection.isSelfDelimited(mHead) ? "length" : "close";
     }
 
-    EventSplitter splitter() {
-        return mSplitter;
-    }
-
     /** Returns the time since the request was sent, or 0 before. */
     long sentMillis(long now) {
         return isSent() ? now - mSentAt : 0;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -49,13 +49,12 @@
     private final PromptPlacement mPlacement;
     private final AttemptTracker mAttempts = new AttemptTracker();
     private final FailureResponder mFailureResponder;
+    private final StreamRelay mStream;
     private TrafficConfig mConfig;
     private Admission mAdmission;
     private Attempt mAttempt;
-    private boolean mStreaming;
     private boolean mHasEvents;
     private boolean mDone;
-    private String mLastEventId;
     private String mBodyDelimiter = "";
     private Optional<ResumableStream> mResumable = Optional.empty();
     private Optional<PoolAdmissions.Ticket> mTicket = Optional.empty();
@@ -72,6 +71,7 @@
         mStallCheck = new StallCheck(context, mTargetSelection);
         mPlacement = new PromptPlacement(context, mTargetSelection);
         mFailureResponder = new FailureResponder(context, mResponse, mAttempts, mTargetSelection);
+        mStream = new StreamRelay(context.responses(), sink);
         mReadAt = context.now();
     }
 
@@ -117,7 +117,7 @@
     private void admit(AdmissionCheck.Admitted admitted) {
         mAdmission = Admission.of(mConfig, admitted, mRequest);
         if (route().kind() == RouteKind.RESUMABLE) {
-            mLastEventId = mRequest.head().lastEventId().orElse(null);
+            mStream.resumeAfter(mRequest.head().lastEventId());
             mResumable =
                     Optional.of(ResumableStream.of(mContext.fleetState(), mAdmission, mRequest));
         }
@@ -186,7 +186,7 @@
             refuseOrRequestTrial();
             return;
         }
-        if (mContext.admitsByShare(pool()) && !mStreaming) {
+        if (mContext.admitsByShare(pool()) && !mStream.isStarted()) {
             mContext.admissions().decide(ticket());
             return;
         }
@@ -212,7 +212,7 @@
 
     @Override
     public void reject(Decision.Reject rejection) {
-        mFailureResponder.respondRejected(rejection, mAdmission, mStreaming);
+        mFailureResponder.respondRejected(rejection, mAdmission, mStream.isStarted());
     }
 
     /** Reports the result of an attempt to the admission of a contended pool. */
@@ -227,7 +227,7 @@
         if (result.kind() != AttemptResult.Kind.ANSWERED || a.isRateLimited()) {
             return;
         }
-        if (!mStreaming) {
+        if (!mStream.isStarted()) {
             mContext.admissions().onAnswered(t, mContext.loopLag().isOverloaded());
         }
         mContext.admissions().onSlotFreed(t, a.target());
@@ -291,7 +291,7 @@
         if (!mQuarantineCheck.canRequestTrial()) {
             mLogger.onQuarantined(mQuarantineCheck.blamed());
             mFailureResponder.respondQuarantined(
-                    mQuarantineCheck.retryAfterMillis(), mAdmission, mStreaming);
+                    mQuarantineCheck.retryAfterMillis(), mAdmission, mStream.isStarted());
             return;
         }
         mQuarantineCheck.requestTrial(this::startAttemptUnlessDone);
@@ -313,7 +313,7 @@
                 mAdmission.remainingMillis(mContext.now()),
                 mAdmission.team().map(Team::name),
                 mAdmission.priority(),
-                Optional.ofNullable(mLastEventId),
+                mStream.position().lastEventId(),
                 mTargetSelection.copyFrom(t, pool()));
     }
 
@@ -328,7 +328,6 @@
         mPlacement.onAttemptEnded(answered);
         mQuarantineCheck.onAttemptEnd(
                 result.kind().mayHaveRun(), answered, answered && a.isCertainlyServed());
-        updateLastEventId(a);
         mBodyDelimiter = a.bodyDelimiter();
         if (result.kind() == AttemptResult.Kind.ANSWERED) {
             if (a.isServedUntilClose() && mFingerprints.hasParts()) {
@@ -367,7 +366,7 @@
                 result,
                 mAttempts.sentCount(),
                 mStallCheck.timeoutMillis(a, mAdmission),
-                Optional.ofNullable(mLastEventId));
+                mStream.position().lastEventId());
         if (mayRetry(result, mContext.now())) {
             startAttempt();
             return;
@@ -377,8 +376,9 @@
 
     private boolean mayRetry(AttemptResult result, long now) {
         boolean cannotResume =
-                mStreaming
-                        && (mLastEventId == null || !mTargetSelection.hasUntriedTarget(mAdmission));
+                mStream.isStarted()
+                        && (!mStream.position().isResumable()
+                                || !mTargetSelection.hasUntriedTarget(mAdmission));
         return !mAdmission.isExpired(now)
                 && mAttempts.allowsNextAttempt(result, route(), cannotResume, () -> takeRetry(now));
     }
@@ -400,15 +400,14 @@
     @Override
     public void onStreamStarted(Attempt a) {
         mStallCheck.onResponse(a, mAdmission);
-        if (mStreaming) {
+        if (mStream.isStarted()) {
             return; // a resumed stream keeps the head from its first target
         }
-        mStreaming = true;
         mPlacement.onFirstEvent();
         mContext.meters().onFirstByte(mContext.now() - mRequest.receivedMillis());
         mTicket.ifPresent(
                 t -> mContext.admissions().onAnswered(t, mContext.loopLag().isOverloaded()));
-        mSink.writeHead(mContext.responses().streamHead(a.head()));
+        mStream.start(a.head());
     }
 
     @Override
@@ -422,7 +421,7 @@
         if (a.outlivesCrashDelay()) {
             mQuarantineCheck.onPartsServed();
         }
-        mSink.writeBody(bytes);
+        mStream.forward(bytes);
         if (!mSink.isWritable()) {
             a.setAutoRead(false);
         }
@@ -433,7 +432,9 @@
      * attempt, by which the prompt may be cached.
      */
     private void onFirstEvents(Attempt a) {
-        boolean resumed = mRequest.head().resumes().isPresent() || mLastEventId != null;
+        boolean resumed =
+                mRequest.head().resumes().isPresent()
+                        || mResumable.filter(ResumableStream::isResumed).isPresent();
         if (mTargetSelection.promptTokens() == 0 || resumed || mAttempts.sentCount() != 1) {
             return;
         }
@@ -506,11 +507,11 @@
         if (!mAttempts.allowsRetry(route())) {
             return false;
         }
-        return mStallCheck.isStalled(a, mAdmission, mStreaming, readUntil);
+        return mStallCheck.isStalled(a, mAdmission, mStream.isStarted(), readUntil);
     }
 
     private boolean canReplaceAttempt() {
-        if (mStreaming && !mTargetSelection.hasUntriedTarget(mAdmission)) {
+        if (mStream.isStarted() && !mTargetSelection.hasUntriedTarget(mAdmission)) {
             return false; // the stalled target may still continue
         }
         return mContext.retryBudgets().pool(pool()).remaining(mContext.now()) >= 1;
@@ -527,12 +528,8 @@
                         "silent " + a.silentMillis(readUntil) + " ms"));
     }
 
-    private void updateLastEventId(Attempt a) {
-        a.splitter().lastEventId().ifPresent(id -> mLastEventId = id);
-    }
-
     private void onDeadline(long readUntil) {
-        if (!mStreaming) {
+        if (!mStream.isStarted()) {
             mTicket.ifPresent(mContext.admissions()::onExpired);
         }
         if (mAttempt != null) {
@@ -553,7 +550,7 @@
     private void finishAnswered(Attempt a) {
         mContext.retryDelay(pool()).onServed(mContext.now());
         mTargetSelection.onAnswered(pool(), a.target());
-        if (route().kind().isStream() && mStreaming) {
+        if (route().kind().isStream() && mStream.isStarted()) {
             mResponse.completeStream();
         } else {
             mStallCheck.onResponse(a, mAdmission);
@@ -562,7 +559,9 @@
     }
 
     private void finishFailed(Attempt a, AttemptResult result) {
-        if (result.kind() == AttemptResult.Kind.FAILED && !mStreaming && canForwardFailure(a)) {
+        if (result.kind() == AttemptResult.Kind.FAILED
+                && !mStream.isStarted()
+                && canForwardFailure(a)) {
             mResponse.forwardFailure(a);
             return;
         }
@@ -578,7 +577,7 @@
     }
 
     private void respondWithFailure(String reason) {
-        mFailureResponder.respond(reason, mAdmission, mStreaming);
+        mFailureResponder.respond(reason, mAdmission, mStream.isStarted());
     }
 
     private void onFinished(String outcome) {
--- /dev/null
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamRelay.java
@@ -0,0 +1,51 @@
+package org.forkseam.direct.flow;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.HttpResponse;
+
+import java.util.Optional;
+
+/**
+ * Forwards the stream that a caller receives, to which several attempts may contribute. Used on the
+ * event loop.
+ */
+final class StreamRelay {
+    private final ResponseFactory mResponses;
+    private final ResponseSink mSink;
+    private StreamPosition mPosition = StreamPosition.after(Optional.empty());
+    private boolean mStarted;
+
+    StreamRelay(ResponseFactory responses, ResponseSink sink) {
+        mResponses = responses;
+        mSink = sink;
+    }
+
+    /** Sets the last event that the caller has received in an earlier response. */
+    void resumeAfter(Optional<String> lastEventId) {
+        mPosition = StreamPosition.after(lastEventId);
+    }
+
+    /** Returns whether a part of the response was sent to the caller. */
+    boolean isStarted() {
+        return mStarted;
+    }
+
+    /** Returns the position of the caller. */
+    StreamPosition position() {
+        return mPosition;
+    }
+
+    /** Sends the head of the response. */
+    void start(HttpResponse head) {
+        mStarted = true;
+        mSink.writeHead(mResponses.streamHead(head));
+    }
+
+    /** Forwards complete events and takes ownership of the buffer. */
+    void forward(ByteBuf events) {
+        mPosition.onForwarded(
+                ByteBufUtil.getBytes(events, events.readerIndex(), events.readableBytes(), false));
+        mSink.writeBody(events);
+    }
+}
--- /dev/null
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/EventScanner.java
@@ -0,0 +1,103 @@
+package org.forkseam.direct.io;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/**
+ * Iterates over the complete server-sent events in a byte array, whose lines end with LF or CRLF.
+ * Used on the event loop.
+ *
+ * @since 0.4
+ */
+public final class EventScanner {
+    private static final byte[] ID = {'i', 'd', ':'};
+    private static final byte[] DATA = {'d', 'a', 't', 'a'};
+
+    private final byte[] mBytes;
+    private int mStart;
+    private int mEnd;
+    private int mIdStart;
+    private int mIdEnd;
+    private boolean mHasData;
+
+    private EventScanner(byte[] bytes) {
+        mBytes = bytes;
+    }
+
+    /** Creates a scanner before the first event. */
+    public static EventScanner of(byte[] events) {
+        return new EventScanner(events);
+    }
+
+    /** Moves to the next event; returns false if there is none. */
+    public boolean next() {
+        mStart = mEnd;
+        mIdStart = 0;
+        mIdEnd = 0;
+        mHasData = false;
+        while (mEnd < mBytes.length) {
+            int start = mEnd;
+            int lineFeed = indexOfLineFeed(start);
+            mEnd = Math.min(lineFeed + 1, mBytes.length);
+            int end = lineFeed > start && mBytes[lineFeed - 1] == '\r' ? lineFeed - 1 : lineFeed;
+            if (end == start) {
+                return true;
+            }
+            onLine(start, end);
+        }
+        return mEnd > mStart;
+    }
+
+    private int indexOfLineFeed(int from) {
+        int i = from;
+        while (i < mBytes.length && mBytes[i] != '\n') {
+            i++;
+        }
+        return i;
+    }
+
+    private void onLine(int start, int end) {
+        if (startsWith(ID, start, end)) {
+            mIdStart = start + ID.length;
+            mIdEnd = end;
+        } else if (startsWith(DATA, start, end)) {
+            mHasData = true;
+        }
+    }
+
+    private boolean startsWith(byte[] name, int start, int end) {
+        if (end - start < name.length) {
+            return false;
+        }
+        for (int i = 0; i < name.length; i++) {
+            if (mBytes[start + i] != name[i]) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns the index of the first byte of the event. */
+    public int start() {
+        return mStart;
+    }
+
+    /** Returns the index after the last byte of the event. */
+    public int end() {
+        return mEnd;
+    }
+
+    /** Returns whether the event has data, unlike a comment. */
+    public boolean hasData() {
+        return mHasData;
+    }
+
+    /** Returns the id of the event; an empty one counts as missing. */
+    public Optional<String> id() {
+        if (mIdEnd == mIdStart) {
+            return Optional.empty();
+        }
+        String id = new String(mBytes, mIdStart, mIdEnd - mIdStart, StandardCharsets.UTF_8).strip();
+        return id.isEmpty() ? Optional.empty() : Optional.of(id);
+    }
+}
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/EventSplitter.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/EventSplitter.java
@@ -4,13 +4,10 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import java.util.Optional;
 
 /**
- * Splits a stream of server-sent events at event boundaries and keeps the last event id. Used on
- * the event loop.
+ * Splits a stream of server-sent events at event boundaries. Used on the event loop.
  *
  * <p>Bytes of an incomplete event are held back, so that an interrupted stream can be resumed after
  * the last complete event.
@@ -18,14 +15,11 @@
  * @since 0.2
  */
 public final class EventSplitter {
-    private static final String ID = "id:";
-
     private static final byte[] EMPTY = new byte[0];
 
     private byte[] mBuffer = EMPTY;
     private int mLength;
     private int mScanned;
-    private byte[] mLastTaken = EMPTY;
 
     private EventSplitter() {}
 
@@ -66,11 +60,11 @@
             return Unpooled.EMPTY_BUFFER;
         }
         // Avoid another copy in the usual case of complete events only.
-        mLastTaken = end == mBuffer.length ? mBuffer : Arrays.copyOf(mBuffer, end);
+        byte[] taken = end == mBuffer.length ? mBuffer : Arrays.copyOf(mBuffer, end);
         mBuffer = end == mLength ? EMPTY : Arrays.copyOfRange(mBuffer, end, mLength);
         mLength -= end;
         mScanned = mLength;
-        return Unpooled.wrappedBuffer(mLastTaken);
+        return Unpooled.wrappedBuffer(taken);
     }
 
     /** Searches the bytes added since the last search for the end of an event. */
@@ -94,15 +88,4 @@
     public boolean hasPartialEvent() {
         return mLength > 0;
     }
-
-    /** Returns the id of the last event returned by {@link #takeCompleteEvents}. */
-    public Optional<String> lastEventId() {
-        String[] lines = new String(mLastTaken, StandardCharsets.UTF_8).split("\r?\n");
-        for (int i = lines.length - 1; i >= 0; i--) {
-            if (lines[i].startsWith(ID)) {
-                return Optional.of(lines[i].substring(ID.length()).strip());
-            }
-        }
-        return Optional.empty();
-    }
 }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/io/EventSplitterTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/io/EventSplitterTest.java
@@ -14,7 +14,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Optional;
 
 /** Tests that streams are split at event boundaries. */
 class EventSplitterTest {
@@ -54,7 +53,6 @@
         passed.append(text(take(s, stream.substring(at))));
         assertThat(passed.toString()).isEqualTo(all.toString());
         assertThat(s.hasPartialEvent()).isTrue();
-        assertThat(s.lastEventId()).isEqualTo(Optional.of("" + events));
     }
 
     @Test
@@ -64,12 +62,6 @@
         s.add(bytes("id: 2\ndata: b\n\nid: 3\n"));
         assertThat(text(s.takeCompleteEvents())).isEqualTo("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
         assertThat(s.takeCompleteEvents().isReadable()).isFalse();
-        assertThat(s.lastEventId()).isEqualTo(Optional.of("2"));
         assertThat(s.hasPartialEvent()).isTrue();
     }
-
-    @Test
-    void emptyStreamHasNoLastEventId() {
-        assertThat(EventSplitter.create().lastEventId()).isEqualTo(Optional.empty());
-    }
 }
