Do not forward events without an id a second time

Callers of a stream that went on at another target saw events twice if these have no id: a target that continues after id 5 sends what follows it, also what the caller has already received after 5 without an id.

Cause: the position of a stream was an id alone, which such events have not.

Ruled out: holding events without an id back until the next id; events are to be passed on as they arrive, and a stream may end without one.

Change: StreamPosition keeps the events without id after the last id (64 KB at most; with more the stream cannot be continued), and RepeatedEvents removes from a continuation those that are equal, in order, up to its first event with an id. Others pass, so that a heartbeat with a time in it loses no event. A read of nothing but repeated events writes no chunk: an empty one would end the response.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -324,8 +324,8 @@
         if (mEnded || !mStream || mHead == null || !isSuccess()) {
             return;
         }
-        ByteBuf events = mSplitter.takeCompleteEvents();
-        if (!events.isReadable()) {
+        byte[] events = mSplitter.takeCompleteEvents();
+        if (events.length == 0) {
             return;
         }
         if (!mStreamStarted) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptListener.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptListener.java
@@ -1,7 +1,5 @@
 package org.forkseam.direct.flow;
 
-import io.netty.buffer.ByteBuf;
-
 /** Receives the progress and the result of an attempt. Called on the event loop. */
 interface AttemptListener {
     /** Returns whether the request has finished or its caller has disconnected. */
@@ -13,8 +11,8 @@
     /** Called when a streamed response starts. */
     void onStreamStarted(Attempt attempt);
 
-    /** Called with bytes of a stream, always complete events. */
-    void onEvents(Attempt attempt, ByteBuf bytes);
+    /** Called with complete events of a stream. */
+    void onEvents(Attempt attempt, byte[] events);
 
     /** Called once with the result; no other call follows. */
     void onAttemptEnded(Attempt attempt, AttemptResult result);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -1,6 +1,5 @@
 package org.forkseam.direct.flow;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 
@@ -259,6 +258,7 @@
                         route().kind().isStream(),
                         () -> requestFor(t),
                         this);
+        mStream.onAttempt();
         mStallCheck.onAttemptStart(t);
         mAttempt.start(mAdmission.maxIdleMillis());
     }
@@ -411,7 +411,7 @@
     }
 
     @Override
-    public void onEvents(Attempt a, ByteBuf bytes) {
+    public void onEvents(Attempt a, byte[] events) {
         if (!mHasEvents) {
             mHasEvents = true;
             onFirstEvents(a);
@@ -421,7 +421,7 @@
         if (a.outlivesCrashDelay()) {
             mQuarantineCheck.onPartsServed();
         }
-        mStream.forward(bytes);
+        mStream.forward(events);
         if (!mSink.isWritable()) {
             a.setAutoRead(false);
         }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamPosition.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamPosition.java
@@ -2,14 +2,25 @@
 
 import org.forkseam.direct.io.EventScanner;
 
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 
 /**
  * Position up to which the events of a stream were forwarded to the caller, over all attempts. Used
  * on the event loop.
+ *
+ * <p>The position is the id of the last event that has one, and the events without id after it: a
+ * target that continues the stream sends those again.
  */
 final class StreamPosition {
+    /** With more bytes of events without id, the stream cannot be continued. */
+    static final int MAX_UNIDENTIFIED_BYTES = 64 << 10;
+
+    private final List<byte[]> mUnidentified = new ArrayList<>();
     private Optional<String> mLastEventId;
+    private int mUnidentifiedBytes;
 
     private StreamPosition(Optional<String> lastEventId) {
         mLastEventId = lastEventId;
@@ -25,16 +36,40 @@
         return mLastEventId;
     }
 
+    /** Returns the events without id that were forwarded after the last one with an id. */
+    List<byte[]> unidentified() {
+        return mUnidentified;
+    }
+
     /** Returns whether another target can continue the stream. */
     boolean isResumable() {
-        return mLastEventId.isPresent();
+        return mLastEventId.isPresent() && mUnidentifiedBytes <= MAX_UNIDENTIFIED_BYTES;
     }
 
     /** Records that complete events were forwarded. */
     void onForwarded(byte[] events) {
         EventScanner s = EventScanner.of(events);
         while (s.next()) {
-            s.id().ifPresent(id -> mLastEventId = Optional.of(id));
+            Optional<String> id = s.id();
+            if (id.isPresent()) {
+                mLastEventId = id;
+                mUnidentified.clear();
+                mUnidentifiedBytes = 0;
+            } else if (s.hasData()) {
+                addUnidentified(events, s);
+            }
+        }
+    }
+
+    private void addUnidentified(byte[] events, EventScanner s) {
+        if (mUnidentifiedBytes > MAX_UNIDENTIFIED_BYTES) {
+            return;
+        }
+        mUnidentifiedBytes += s.end() - s.start();
+        if (mUnidentifiedBytes > MAX_UNIDENTIFIED_BYTES) {
+            mUnidentified.clear();
+            return;
         }
+        mUnidentified.add(Arrays.copyOfRange(events, s.start(), s.end()));
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamRelay.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamRelay.java
@@ -1,7 +1,6 @@
 package org.forkseam.direct.flow;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
 
 import java.util.Optional;
@@ -14,6 +13,7 @@
     private final ResponseFactory mResponses;
     private final ResponseSink mSink;
     private StreamPosition mPosition = StreamPosition.after(Optional.empty());
+    private RepeatedEvents mRepeated = RepeatedEvents.after(mPosition);
     private boolean mStarted;
 
     StreamRelay(ResponseFactory responses, ResponseSink sink) {
@@ -42,10 +42,18 @@
         mSink.writeHead(mResponses.streamHead(head));
     }
 
-    /** Forwards complete events and takes ownership of the buffer. */
-    void forward(ByteBuf events) {
-        mPosition.onForwarded(
-                ByteBufUtil.getBytes(events, events.readerIndex(), events.readableBytes(), false));
-        mSink.writeBody(events);
+    /** Called before an attempt, which continues at the current position. */
+    void onAttempt() {
+        mRepeated = RepeatedEvents.after(mPosition);
+    }
+
+    /** Forwards those of the given complete events that the caller has not received. */
+    void forward(byte[] events) {
+        byte[] unseen = mRepeated.remove(events);
+        if (unseen.length == 0) {
+            return; // an empty chunk would end the response
+        }
+        mPosition.onForwarded(unseen);
+        mSink.writeBody(Unpooled.wrappedBuffer(unseen));
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/EventSplitter.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/EventSplitter.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 
 import java.util.Arrays;
 
@@ -53,18 +52,18 @@
     }
 
     /** Returns the complete events received since the last call; may be empty. */
-    public ByteBuf takeCompleteEvents() {
+    public byte[] takeCompleteEvents() {
         int end = endOfLastEvent();
         if (end == 0) {
             mScanned = mLength;
-            return Unpooled.EMPTY_BUFFER;
+            return EMPTY;
         }
         // Avoid another copy in the usual case of complete events only.
         byte[] taken = end == mBuffer.length ? mBuffer : Arrays.copyOf(mBuffer, end);
         mBuffer = end == mLength ? EMPTY : Arrays.copyOfRange(mBuffer, end, mLength);
         mLength -= end;
         mScanned = mLength;
-        return Unpooled.wrappedBuffer(taken);
+        return taken;
     }
 
     /** Searches the bytes added since the last search for the end of an event. */
--- a/forkseam-direct/src/test/java/org/forkseam/direct/flow/StreamPositionTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/flow/StreamPositionTest.java
@@ -2,8 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 
 import net.jqwik.api.ForAll;
@@ -42,8 +40,7 @@
 
     private static void forward(StreamPosition p, EventSplitter s, String text) {
         s.add(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
-        ByteBuf events = s.takeCompleteEvents();
-        p.onForwarded(ByteBufUtil.getBytes(events));
+        p.onForwarded(s.takeCompleteEvents());
     }
 
     @Property(tries = 500)
@@ -71,6 +68,20 @@
         assertThat(p.lastEventId()).isEqualTo(expected);
     }
 
+    /** Guards against memory that grows with a stream whose events have no ids. */
+    @Test
+    void unidentifiedEventsAreBounded() {
+        StreamPosition p = StreamPosition.after(Optional.of("1"));
+        String event = "data: " + "x".repeat(1_000) + "\n\n";
+        for (int i = 0; i <= StreamPosition.MAX_UNIDENTIFIED_BYTES / 1_000; i++) {
+            forward(p, EventSplitter.create(), event);
+        }
+        assertThat(p.isResumable()).isFalse();
+        assertThat(p.unidentified()).isEmpty();
+        forward(p, EventSplitter.create(), "id: 2\ndata: x\n\n");
+        assertThat(p.isResumable()).isTrue();
+    }
+
     @Test
     void streamWithoutIdsHasNoLastEventId() {
         StreamPosition p = StreamPosition.after(Optional.empty());
--- a/forkseam-direct/src/test/java/org/forkseam/direct/io/EventSplitterTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/io/EventSplitterTest.java
@@ -21,13 +21,13 @@
         return Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
     }
 
-    private static ByteBuf take(EventSplitter s, String text) {
+    private static byte[] take(EventSplitter s, String text) {
         s.add(bytes(text));
         return s.takeCompleteEvents();
     }
 
-    private static String text(ByteBuf b) {
-        return b.toString(StandardCharsets.UTF_8);
+    private static String text(byte[] events) {
+        return new String(events, StandardCharsets.UTF_8);
     }
 
     @Property(tries = 300)
@@ -61,7 +61,7 @@
         s.add(bytes("id: 1\ndata: a\n\n"));
         s.add(bytes("id: 2\ndata: b\n\nid: 3\n"));
         assertThat(text(s.takeCompleteEvents())).isEqualTo("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
-        assertThat(s.takeCompleteEvents().isReadable()).isFalse();
+        assertThat(s.takeCompleteEvents()).isEmpty();
         assertThat(s.hasPartialEvent()).isTrue();
     }
 }
