Continue a stream only with a response that continues it

Callers got a stream as complete that lacked its end: a target broke off, and the next one responded to the request for the rest by 404, 408, 429 or 410 without Not-Executed, by 302, 204 or another success that is no stream. A body of another type reached them as if it were events.

Cause: RequestFlow#finishAnswered completed a begun stream whenever the attempt counted as answered, and every success was forwarded as events.

Ruled out: taking 204 for the end of the stream. A caller that comes back with Last-Event-Id gets that answer itself, while a stream that is called complete in its middle cannot be told from a whole one.

Change: once a stream has begun, an attempt continues it only with the status and media type with which it began. All else ends the attempt as NOT_CONTINUED: it is retried like a broken one and counts as no failure of the target; without another attempt the stream is broken off.

An empty continuation still completes the stream.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -55,6 +55,7 @@
     private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
     private boolean mPaused;
     private long mResumedAt;
+    private boolean mForwardsEvents;
     private boolean mStreamStarted;
     private boolean mEnded;
     private long mSentAt;
@@ -265,6 +266,7 @@
         onReceived();
         mHeadAt = mContext.now();
         mHead = head;
+        mForwardsEvents = mStream && isSuccess() && mListener.acceptsStream(head);
         mContext.fleetState().signals().onAnswer(mTarget, mDecodedHead);
         mContext.loadReports().onHead(mTarget, mDecodedHead);
         mDecodedHead
@@ -288,7 +290,7 @@
         if (mEnded) {
             return;
         }
-        if (mStream && isSuccess()) {
+        if (mForwardsEvents) {
             onStreamBytes(bytes);
             return;
         }
@@ -321,7 +323,7 @@
      */
     @Override
     public void onReadComplete() {
-        if (mEnded || !mStream || mHead == null || !isSuccess()) {
+        if (mEnded || !mForwardsEvents) {
             return;
         }
         byte[] events = mSplitter.takeCompleteEvents();
@@ -376,13 +378,13 @@
         if (mEnded) {
             return;
         }
-        if (mStream && isSuccess() && mSplitter.hasPartialEvent()) {
+        if (mForwardsEvents && mSplitter.hasPartialEvent()) {
             end(
                     AttemptResult.of(
                             AttemptResult.Kind.BROKEN, "stream ended in the middle of an event"));
             return;
         }
-        if (mStream && isSuccess() && !mStreamStarted) {
+        if (mForwardsEvents && !mStreamStarted) {
             mStreamStarted = true;
             mListener.onStreamStarted(this);
         }
@@ -400,6 +402,9 @@
         if (mHead.status().codeClass() == HttpStatusClass.SERVER_ERROR) {
             return AttemptResult.of(AttemptResult.Kind.FAILED, "status " + status);
         }
+        if (mListener.isStreamStarted() && !mForwardsEvents) {
+            return AttemptResult.of(AttemptResult.Kind.NOT_CONTINUED, "status " + status);
+        }
         return AttemptResult.of(AttemptResult.Kind.ANSWERED, "status " + status);
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptListener.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptListener.java
@@ -1,5 +1,7 @@
 package org.forkseam.direct.flow;
 
+import io.netty.handler.codec.http.HttpResponse;
+
 /** Receives the progress and the result of an attempt. Called on the event loop. */
 interface AttemptListener {
     /** Returns whether the request has finished or its caller has disconnected. */
@@ -8,6 +10,12 @@
     /** Returns whether the request may still be sent to a target. */
     boolean maySend();
 
+    /** Returns whether the caller has received a part of a stream, from any attempt. */
+    boolean isStreamStarted();
+
+    /** Returns whether a successful response can start or continue the caller's stream. */
+    boolean acceptsStream(HttpResponse head);
+
     /** Called when a streamed response starts. */
     void onStreamStarted(Attempt attempt);
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptResult.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptResult.java
@@ -29,6 +29,8 @@
         WRONG_TARGET(false),
         /** The target responded with a server error. */
         FAILED(true),
+        /** The target responded to a request for the rest of a stream with something else. */
+        NOT_CONTINUED(true),
         /** The connection closed before the response was complete. */
         BROKEN(true),
         /** The response was malformed. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.flow;
 
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 
 import org.forkseam.core.admit.Decision;
@@ -397,6 +398,16 @@
 
     // ---------------------------------------------------------------- streams
 
+    @Override
+    public boolean isStreamStarted() {
+        return mStream.isStarted();
+    }
+
+    @Override
+    public boolean acceptsStream(HttpResponse head) {
+        return mStream.accepts(head);
+    }
+
     @Override
     public void onStreamStarted(Attempt a) {
         mStallCheck.onResponse(a, mAdmission);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamRelay.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamRelay.java
@@ -2,7 +2,9 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 
+import java.util.Locale;
 import java.util.Optional;
 
 /**
@@ -14,7 +16,7 @@
     private final ResponseSink mSink;
     private StreamPosition mPosition = StreamPosition.after(Optional.empty());
     private RepeatedEvents mRepeated = RepeatedEvents.after(mPosition);
-    private boolean mStarted;
+    private HttpResponse mHead;
 
     StreamRelay(ResponseFactory responses, ResponseSink sink) {
         mResponses = responses;
@@ -28,7 +30,7 @@
 
     /** Returns whether a part of the response was sent to the caller. */
     boolean isStarted() {
-        return mStarted;
+        return mHead != null;
     }
 
     /** Returns the position of the caller. */
@@ -36,9 +38,20 @@
         return mPosition;
     }
 
+    /** Returns whether a successful response can start the stream, or continue it. */
+    boolean accepts(HttpResponse head) {
+        return !isStarted()
+                || head.status().equals(mHead.status()) && mediaType(head).equals(mediaType(mHead));
+    }
+
+    private static String mediaType(HttpResponse head) {
+        CharSequence type = HttpUtil.getMimeType(head);
+        return type == null ? "" : type.toString().strip().toLowerCase(Locale.ROOT);
+    }
+
     /** Sends the head of the response. */
     void start(HttpResponse head) {
-        mStarted = true;
+        mHead = head;
         mSink.writeHead(mResponses.streamHead(head));
     }
 
