Continue streams that have had no event id so far

Callers lost streams that broke before their first event with an id, although other targets could serve them: a comment or an event without an id was enough for the stream to be broken off.

Cause: without an id, the position of a stream was taken for unknown. If only comments were forwarded, it is the beginning; otherwise it is the beginning and the events that were forwarded.

Ruled out: forwarding the new run as it is, which repeats what the caller has; dropping as many events as were forwarded, which joins two runs that differ.

Change: such a stream starts from the beginning at the next target. It goes on only if the same events come again, in order, before anything else that has data; otherwise the attempt ends as NOT_CONTINUED.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -334,8 +334,11 @@
             mStreamStarted = true;
             mListener.onStreamStarted(this);
         }
-        if (!mEnded) {
-            mListener.onEvents(this, events);
+        if (!mEnded && !mListener.onEvents(this, events)) {
+            mConnection.abort();
+            end(
+                    AttemptResult.of(
+                            AttemptResult.Kind.NOT_CONTINUED, "events differ from those before"));
         }
     }
 
@@ -402,7 +405,7 @@
         if (mHead.status().codeClass() == HttpStatusClass.SERVER_ERROR) {
             return AttemptResult.of(AttemptResult.Kind.FAILED, "status " + status);
         }
-        if (mListener.isStreamStarted() && !mForwardsEvents) {
+        if (mListener.isStreamStarted() && !(mForwardsEvents && mListener.mayEndStream())) {
             return AttemptResult.of(AttemptResult.Kind.NOT_CONTINUED, "status " + status);
         }
         return AttemptResult.of(AttemptResult.Kind.ANSWERED, "status " + status);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptListener.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptListener.java
@@ -19,8 +19,14 @@
     /** Called when a streamed response starts. */
     void onStreamStarted(Attempt attempt);
 
-    /** Called with complete events of a stream. */
-    void onEvents(Attempt attempt, byte[] events);
+    /**
+     * Called with complete events of a stream; returns false if they do not continue the caller's
+     * stream.
+     */
+    boolean onEvents(Attempt attempt, byte[] events);
+
+    /** Returns whether the stream may end where the response to the attempt ends. */
+    boolean mayEndStream();
 
     /** Called once with the result; no other call follows. */
     void onAttemptEnded(Attempt attempt, AttemptResult result);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -408,6 +408,11 @@
         return mStream.accepts(head);
     }
 
+    @Override
+    public boolean mayEndStream() {
+        return mStream.mayEnd();
+    }
+
     @Override
     public void onStreamStarted(Attempt a) {
         mStallCheck.onResponse(a, mAdmission);
@@ -422,7 +427,7 @@
     }
 
     @Override
-    public void onEvents(Attempt a, byte[] events) {
+    public boolean onEvents(Attempt a, byte[] events) {
         if (!mHasEvents) {
             mHasEvents = true;
             onFirstEvents(a);
@@ -432,10 +437,13 @@
         if (a.outlivesCrashDelay()) {
             mQuarantineCheck.onPartsServed();
         }
-        mStream.forward(events);
+        if (!mStream.forward(events)) {
+            return false;
+        }
         if (!mSink.isWritable()) {
             a.setAutoRead(false);
         }
+        return true;
     }
 
     /**
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamPosition.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamPosition.java
@@ -41,9 +41,12 @@
         return mUnidentified;
     }
 
-    /** Returns whether another target can continue the stream. */
+    /**
+     * Returns whether another target can continue the stream. Without an id, it starts from the
+     * beginning and has to send the same events again.
+     */
     boolean isResumable() {
-        return mLastEventId.isPresent() && mUnidentifiedBytes <= MAX_UNIDENTIFIED_BYTES;
+        return mUnidentifiedBytes <= MAX_UNIDENTIFIED_BYTES;
     }
 
     /** Records that complete events were forwarded. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamRelay.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamRelay.java
@@ -60,13 +60,24 @@
         mRepeated = RepeatedEvents.after(mPosition);
     }
 
-    /** Forwards those of the given complete events that the caller has not received. */
-    void forward(byte[] events) {
-        byte[] unseen = mRepeated.remove(events);
-        if (unseen.length == 0) {
-            return; // an empty chunk would end the response
+    /** Returns whether the stream may end where the response to the current attempt ends. */
+    boolean mayEnd() {
+        return mRepeated.isPositionReached();
+    }
+
+    /**
+     * Forwards those of the given complete events that the caller has not received; returns false
+     * if they do not continue the stream.
+     */
+    boolean forward(byte[] events) {
+        Optional<byte[]> unseen = mRepeated.remove(events);
+        if (unseen.isEmpty()) {
+            return false;
+        }
+        if (unseen.get().length > 0) { // an empty chunk would end the response
+            mPosition.onForwarded(unseen.get());
+            mSink.writeBody(Unpooled.wrappedBuffer(unseen.get()));
         }
-        mPosition.onForwarded(unseen);
-        mSink.writeBody(Unpooled.wrappedBuffer(unseen));
+        return true;
     }
 }
