Leave a pausing stream at its target if no other can continue it

Callers lost streams on a resumable route that paused for 600 ms and more: the router ended the attempt and then found that nothing could continue the stream.

Cause: canReplaceAttempt looked for another target only, mayRetry also at the position of the stream.

Ruled out: a longer time of silence, which would delay the streams that can be moved.

Change: both ask canContinueElsewhere. A pausing stream of which no other target can continue the position stays.

Evidence: pausingStreamThatCannotContinueElsewhereStays red on the commit before, green now.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -376,14 +376,16 @@
     }
 
     private boolean mayRetry(AttemptResult result, long now) {
-        boolean cannotResume =
-                mStream.isStarted()
-                        && (!mStream.position().isResumable()
-                                || !mTargetSelection.hasUntriedTarget(mAdmission));
+        boolean cannotResume = mStream.isStarted() && !canContinueElsewhere();
         return !mAdmission.isExpired(now)
                 && mAttempts.allowsNextAttempt(result, route(), cannotResume, () -> takeRetry(now));
     }
 
+    /** Returns whether another target can continue the stream that has started. */
+    private boolean canContinueElsewhere() {
+        return mStream.position().isResumable() && mTargetSelection.hasUntriedTarget(mAdmission);
+    }
+
     /** Takes one retry from the pool's budget, or logs why none is left. */
     private boolean takeRetry(long now) {
         SlidingWindowRetryBudget budget = mContext.retryBudgets().pool(pool());
@@ -530,7 +532,7 @@
     }
 
     private boolean canReplaceAttempt() {
-        if (mStream.isStarted() && !mTargetSelection.hasUntriedTarget(mAdmission)) {
+        if (mStream.isStarted() && !canContinueElsewhere()) {
             return false; // the stalled target may still continue
         }
         return mContext.retryBudgets().pool(pool()).remaining(mContext.now()) >= 1;
