Do not take a reset while the request is written for the end of a response

Callers of a server that is killed while it answers a long request early and without a length got 200 and a part of the body as a complete answer.

Cause: the reset of the connection shows as a failed write first, after which Netty closes the channel without exceptionCaught, and its codec ends a response without a length with a LastHttpContent.

Ruled out: calling every response without a length incomplete, which breaks whole ones; the order of reads and writes in the event loop, which Netty sets.

Change: a response that ends with its connection is complete only if the request was written. HttpConnection fails the exchange as RESET otherwise. A server that has read the request and closes still completes its response.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
@@ -33,6 +33,7 @@
     private ChannelFuture mWritten;
     private boolean mInResponse;
     private boolean mSkipping;
+    private boolean mSelfDelimited;
     private boolean mReusable = true;
     private long mIdleSince;
     private long mMaxIdleMillis = Long.MAX_VALUE;
@@ -162,7 +163,8 @@
             mReusable = false;
             return;
         }
-        if (!HttpUtil.isKeepAlive(r) || !isSelfDelimited(r)) {
+        mSelfDelimited = isSelfDelimited(r);
+        if (!HttpUtil.isKeepAlive(r) || !mSelfDelimited) {
             mReusable = false;
         }
         mListener.onHead(r);
@@ -193,12 +195,17 @@
     }
 
     private void complete() {
-        ResponseListener l = mListener;
-        mListener = null;
-        mInResponse = false;
         // If the response came before the request was fully written, the connection is not
         // reusable.
         boolean written = mWritten.isDone() && mWritten.isSuccess();
+        if (!written && !mSelfDelimited) {
+            // A reset may show as a failed write only, after which the codec ends the response.
+            fail(ExchangeFailure.RESET, "connection closed before the request was written");
+            return;
+        }
+        ResponseListener l = mListener;
+        mListener = null;
+        mInResponse = false;
         mPool.release(this, written);
         l.onComplete();
     }
