Ask the target before a response that ended with its connection is whole

Callers got streams and bodies of killed targets as complete: the response had no length, and the kernel closes the connections of a killed process in order, as a server does at the end of such a response.

Cause: the close of the connection was taken for the end of the response, though a crash looks the same. Only the quarantine asked whether the target still listens.

Ruled out: breaking off every response without a length; requests for the rest of each such stream, which run whole streams twice; a caller's response without a length, which hands the same doubt on.

Change: LivenessCheck opens one connection per target, 20 ms after the close, for all responses that ended then. If the target refuses it, the attempt is BROKEN: a resumable stream goes on elsewhere, others are broken off, plain requests are retried or fail. CrashDetector and the quarantine rely on the same answer.

Remains: a target that is started again at its address within 20 ms, and one that closes a single response early and lives on, cannot be told.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -347,16 +347,6 @@
         return mHead.status().code() == HttpResponseStatus.TOO_MANY_REQUESTS.code();
     }
 
-    /** Returns whether the target answered with a success whose end cannot be due to a crash. */
-    boolean isCertainlyServed() {
-        return isSuccess() && HttpConnection.isSelfDelimited(mHead);
-    }
-
-    /** Returns whether the end of the connection alone marked the end of a success. */
-    boolean isServedUntilClose() {
-        return isSuccess() && !HttpConnection.isSelfDelimited(mHead);
-    }
-
     /**
      * Returns, once per attempt, whether the target has been responding for longer than a request
      * takes to crash it.
@@ -370,13 +360,15 @@
         return true;
     }
 
-    private boolean isSuccess() {
+    /** Returns whether the target responded with a success. */
+    boolean isSuccess() {
         return mHead.status().codeClass() == HttpStatusClass.SUCCESS;
     }
 
     @Override
     public void onComplete() {
         onReadComplete();
+        boolean closed = mConnection.hasEndedByClose();
         mConnection = null;
         if (mEnded) {
             return;
@@ -387,11 +379,31 @@
                             AttemptResult.Kind.BROKEN, "stream ended in the middle of an event"));
             return;
         }
-        if (mForwardsEvents && !mStreamStarted) {
+        AttemptResult result = classify();
+        if (closed && result.kind() == AttemptResult.Kind.ANSWERED) {
+            mContext.livenessCheck().check(mTarget, alive -> endByClose(alive, result));
+            return;
+        }
+        complete(result);
+    }
+
+    /** Ends a response that was delimited by the close of its connection. */
+    private void endByClose(boolean alive, AttemptResult result) {
+        if (alive) {
+            complete(result);
+            return;
+        }
+        end(
+                AttemptResult.of(
+                        AttemptResult.Kind.BROKEN, "target ended, its response has no length"));
+    }
+
+    private void complete(AttemptResult result) {
+        if (!mEnded && mForwardsEvents && !mStreamStarted) {
             mStreamStarted = true;
             mListener.onStreamStarted(this);
         }
-        end(classify());
+        end(result);
     }
 
     private AttemptResult classify() {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CrashDetector.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CrashDetector.java
@@ -72,24 +72,6 @@
         }
     }
 
-    /**
-     * Handles a response that ended with its connection, which a crash can look like.
-     *
-     * @param onAlive runs if the target still listens, and if it has been responding for longer
-     *     than a request takes to crash it
-     */
-    void onResponseEndedByClose(
-            Target t, RequestFingerprints request, long respondingMillis, Runnable onAlive) {
-        if (respondingMillis > MAX_CRASH_DELAY_MILLIS) {
-            onAlive.run();
-            return;
-        }
-        Probe probe = probe(t);
-        probe.mRequests.add(request);
-        probe.mOnAlive.add(onAlive);
-        probe.start();
-    }
-
     /** Returns the pending probe of a target, or a new one. */
     private Probe probe(Target t) {
         return mProbes.computeIfAbsent(t.incarnation(), i -> new Probe(t));
@@ -101,7 +83,6 @@
         private final int mCrashId;
         private final Set<RequestFingerprints> mRequests = new HashSet<>();
         private final List<Runnable> mCallbacks = new ArrayList<>();
-        private final List<Runnable> mOnAlive = new ArrayList<>();
         private boolean mStarted;
 
         Probe(Target t) {
@@ -120,7 +101,6 @@
         @Override
         public void onConnection(HttpConnection c) {
             c.release();
-            mOnAlive.forEach(Runnable::run);
             finish();
         }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -328,17 +328,9 @@
         boolean answered = result.kind() == AttemptResult.Kind.ANSWERED && !a.isRateLimited();
         mPlacement.onAttemptEnded(answered);
         mQuarantineCheck.onAttemptEnd(
-                result.kind().mayHaveRun(), answered, answered && a.isCertainlyServed());
+                result.kind().mayHaveRun(), answered, answered && a.isSuccess());
         mBodyDelimiter = a.bodyDelimiter();
         if (result.kind() == AttemptResult.Kind.ANSWERED) {
-            if (a.isServedUntilClose() && mFingerprints.hasParts()) {
-                mContext.crashDetector()
-                        .onResponseEndedByClose(
-                                a.target(),
-                                mFingerprints,
-                                a.respondingMillis(now),
-                                mQuarantineCheck::onPartsServed);
-            }
             if (!mDone) {
                 finishAnswered(a);
             }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -32,6 +32,7 @@
     private Selectors mSelectors;
     private final ColdStartLimiter mColdStartLimiter;
     private final CrashDetector mCrashDetector;
+    private final LivenessCheck mLivenessCheck;
     private final RetryBudgets mRetryBudgets;
     private final ResponseFactory mResponses;
     private final RequestMeters mMeters;
@@ -93,6 +94,7 @@
         mSelectors = p.selectors();
         mColdStartLimiter = p.coldStartLimiter();
         mCrashDetector = new CrashDetector(p.targetConnections(), p.fleetState().quarantine());
+        mLivenessCheck = new LivenessCheck(p.targetConnections(), p.readBarrier());
         mRetryBudgets = p.retryBudgets();
         mResponses = p.responses();
         mMeters = p.meters();
@@ -193,6 +195,10 @@
         return mAdmissions;
     }
 
+    LivenessCheck livenessCheck() {
+        return mLivenessCheck;
+    }
+
     CrashDetector crashDetector() {
         return mCrashDetector;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
@@ -34,6 +34,7 @@
     private boolean mInResponse;
     private boolean mSkipping;
     private boolean mSelfDelimited;
+    private boolean mEndedByClose;
     private boolean mReusable = true;
     private long mIdleSince;
     private long mMaxIdleMillis = Long.MAX_VALUE;
@@ -76,6 +77,11 @@
         mChannel.config().setAutoRead(autoRead);
     }
 
+    /** Returns whether the last response ended because the server closed the connection. */
+    public boolean hasEndedByClose() {
+        return mEndedByClose;
+    }
+
     /** Limits how long the connection may be idle. */
     public void limitIdleMillis(long millis) {
         mMaxIdleMillis = Math.min(mMaxIdleMillis, millis);
@@ -206,6 +212,7 @@
         ResponseListener l = mListener;
         mListener = null;
         mInResponse = false;
+        mEndedByClose = !mSelfDelimited && !mChannel.isActive();
         mPool.release(this, written);
         l.onComplete();
     }
