Refuse all keys once the last one was revoked

Callers with any key, or none, were served once the operator had taken away the last key of the only tenant: the deployment was open to everybody.

Cause: TrafficConfig#hasTeams asked whether there is any key. A tenant without keys left no trace in the configuration.

Ruled out: an empty list of tenants as a requirement of keys; a deployment without tenants writes the same.

--- a/forkseam-core/src/main/java/org/forkseam/core/traffic/ConfigFingerprint.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/traffic/ConfigFingerprint.java
@@ -53,7 +53,8 @@
 
     private static long of(CallerLimits l) {
         long sizes = Hashes.mix(l.headerBytes(), l.bodyBytes());
-        return Hashes.mix(sizes, Hashes.mix(l.headerMillis(), l.idleMillis()));
+        long times = Hashes.mix(l.headerMillis(), l.idleMillis());
+        return Hashes.mix(Hashes.mix(sizes, times), l.keyRequired() ? 1 : 0);
     }
 
     private static long of(Pool p) {
--- a/forkseam-core/src/main/java/org/forkseam/core/traffic/TrafficConfig.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/traffic/TrafficConfig.java
@@ -156,9 +156,12 @@
         return Optional.ofNullable(mTeamsByKey.get(key));
     }
 
-    /** Returns whether callers need keys for routes that are not open. */
-    public boolean hasTeams() {
-        return !mTeamsByKey.isEmpty();
+    /**
+     * Returns whether callers need keys for routes that are not open, even if all keys were
+     * revoked.
+     */
+    public boolean requiresKey() {
+        return mLimits.keyRequired() || !mTeamsByKey.isEmpty();
     }
 
     private static String hostName(String header) {
--- a/forkseam-core/src/test/java/org/forkseam/core/traffic/ConfigChangeTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/traffic/ConfigChangeTest.java
@@ -53,7 +53,8 @@
                 pools.add(new Pool("p" + i, 10, true, cold, 2_700));
             }
         }
-        CallerLimits limits = new CallerLimits(1 + random.nextInt(2), 2, 3, 4);
+        CallerLimits limits =
+                new CallerLimits(1 + random.nextInt(2), 2, 3, 4, random.nextBoolean());
         return TrafficConfig.of(version, routes, pools, teams, limits);
     }
 
--- a/forkseam-core/src/test/java/org/forkseam/core/traffic/TrafficConfigTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/traffic/TrafficConfigTest.java
@@ -58,7 +58,7 @@
     void keysBelongToTeams() {
         assertThat(CONFIG.team("key").map(Team::name)).isEqualTo(Optional.of("team"));
         assertThat(CONFIG.team("other").isPresent()).isFalse();
-        assertThat(CONFIG.hasTeams()).isTrue();
+        assertThat(CONFIG.requiresKey()).isTrue();
     }
 
     @Test
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/AdmissionCheck.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/AdmissionCheck.java
@@ -47,7 +47,7 @@
             return new Rejected(HttpResponseStatus.NOT_FOUND, "no route for " + host + r.path());
         }
         Optional<Team> team = r.head().key().flatMap(config::team);
-        boolean needsKey = config.hasTeams() && !route.get().open();
+        boolean needsKey = config.requiresKey() && !route.get().open();
         if (needsKey && team.isEmpty()) {
             return new Rejected(HttpResponseStatus.UNAUTHORIZED, "key is not known");
         }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigCodec.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/ConfigCodec.java
@@ -52,7 +52,8 @@
         long fingerprintBefore = b.readLong();
         long fingerprintAfter = b.readLong();
         CallerLimits limits =
-                new CallerLimits(b.readInt(), b.readInt(), b.readLong(), b.readLong());
+                new CallerLimits(
+                        b.readInt(), b.readInt(), b.readLong(), b.readLong(), b.readBoolean());
         List<Route> routes = new ArrayList<>();
         for (int i = b.readUnsignedShort(); i > 0; i--) {
             routes.add(readRoute(b));
@@ -83,7 +84,7 @@
 
     private static void writeLimits(ByteBuf b, CallerLimits l) {
         b.writeInt(l.headerBytes()).writeInt(l.bodyBytes());
-        b.writeLong(l.headerMillis()).writeLong(l.idleMillis());
+        b.writeLong(l.headerMillis()).writeLong(l.idleMillis()).writeBoolean(l.keyRequired());
     }
 
     private static void writeRoute(ByteBuf b, Route r) {
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
@@ -109,7 +109,7 @@
                                     "k", new Team("t", OptionalInt.of(3), List.of()),
                                     "l", new Team("u", OptionalInt.empty(), List.of())),
                             List.of("m"),
-                            CallerLimits.defaults()));
+                            CallerLimits.defaults().withKeyRequired(true)));
 
     private static final PeerMessage STREAM_ORIGINS =
             new PeerMessage.StreamOrigins(
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerNoticeTest.java
@@ -81,7 +81,7 @@
                         Map.of(
                                 "k", new Team("t", OptionalInt.of(2), List.of()),
                                 "l", new Team("u", OptionalInt.empty(), List.of())),
-                        new CallerLimits(1, 2, 3, 4));
+                        new CallerLimits(1, 2, 3, 4, true));
         TargetEntry entry = new TargetEntry("i", "p", "10.0.0.1:1", "z", 4, true, 0);
         SharedRow seats = new SharedRow("seats/p", "i,j", StorePosition.of(3, 5));
         Evacuations evacuations = Evacuations.create();
