Do not take blank lines at the end of a stream for a partial event

Callers of whole streams saw them broken off, or run again at another target, when the target ended with one blank line more and that line came in a segment of its own. In one segment with the event before, the same bytes were whole.

Cause: EventSplitter held the blank line back, and every byte held counted as the beginning of an event.

Ruled out: an end of a line in the middle of CRLF; it is no event either.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/EventSplitter.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/EventSplitter.java
@@ -83,8 +83,13 @@
         return 0;
     }
 
-    /** Returns whether an incomplete event is buffered. */
+    /** Returns whether an incomplete event is buffered; blank lines are none. */
     public boolean hasPartialEvent() {
-        return mLength > 0;
+        for (int i = 0; i < mLength; i++) {
+            if (mBuffer[i] != '\n' && mBuffer[i] != '\r') {
+                return true;
+            }
+        }
+        return false;
     }
 }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/io/EventSplitterTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/io/EventSplitterTest.java
@@ -11,6 +11,8 @@
 import net.jqwik.api.constraints.Size;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -64,4 +66,16 @@
         assertThat(s.takeCompleteEvents()).isEmpty();
         assertThat(s.hasPartialEvent()).isTrue();
     }
+
+    /** Guards against taking a whole stream for one that ended within an event. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\n", "\r\n", "\r", "\n\n\n"})
+    void blankLinesInAReadOfTheirOwnAreNoPartialEvent(String blank) {
+        EventSplitter s = EventSplitter.create();
+        take(s, "id: 1\ndata: a\n\n");
+        take(s, blank);
+        assertThat(s.hasPartialEvent()).isFalse();
+        take(s, ":");
+        assertThat(s.hasPartialEvent()).isTrue();
+    }
 }
