Let callers read their responses to the end while a router stops

Callers that read slowly lost the end of their responses when the router got SIGTERM: connections were closed 2.6 s later although bytes were unsent.

Cause: a connection counted as idle once its response had been handed to Netty, whatever of it was still to be sent.

Ruled out: closing after the last write, which the responses during the shutdown itself already do; those before it have no such listener.

Change: a connection with unsent bytes is busy. The shutdown timeout still bounds the wait.

Evidence: slowReaderReceivesItsResponseDuringShutdown, 3.6 of 14.7 MB before, all of them now.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerConnection.java
@@ -258,16 +258,16 @@
         return b == null ? 0 : b.totalPendingWriteBytes();
     }
 
-    /** Closes the connection if no request is active. */
+    /** Closes the connection if it is not busy. */
     void closeIfIdle() {
-        if (mFlow == null && mRequestStartedAt == 0 && !mClosing) {
+        if (!isBusy() && !mClosing) {
             close();
         }
     }
 
-    /** Returns whether a request is active or being received. */
+    /** Returns whether a request is active or being received, or a response is being sent. */
     boolean isBusy() {
-        return mFlow != null || mRequestStartedAt != 0;
+        return mFlow != null || mRequestStartedAt != 0 || unsentBytes() > 0;
     }
 
     void close() {
