Bound the memory of all responses that are buffered

Targets that send bodies without end cost the router up to 16 MB each, and nothing bounded their number: with 24 at a time, 330 MB of a heap of 128.

Cause: the bound on a response knew no others.

Ruled out: a lower bound on each, which whole responses of megabytes need; pausing the reads, as a body without end would hold its memory until the deadline of its request.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -93,6 +93,7 @@
         }
         mEnded = true;
         endPause();
+        mContext.bufferedResponses().release(this);
         mTarget.onRequestEnded();
         if (isSent()
                 && mLastReceivedAt == 0
@@ -300,7 +301,9 @@
         mBody.writeBytes(bytes);
         if (mBody.readableBytes() > MAX_BODY_BYTES) {
             abortMalformed("response body exceeds byte limit " + MAX_BODY_BYTES);
+            return;
         }
+        mContext.bufferedResponses().onBuffered(this, mBody.readableBytes());
     }
 
     private void onStreamBytes(ByteBuf bytes) {
@@ -308,13 +311,21 @@
         if (mSplitter.bufferedBytes() >= MAX_BATCH_BYTES) {
             onReadComplete();
         }
-        if (!mEnded && mSplitter.bufferedBytes() > MAX_BODY_BYTES) {
+        if (mEnded) {
+            return;
+        }
+        if (mSplitter.bufferedBytes() > MAX_BODY_BYTES) {
             abortMalformed("event exceeds byte limit " + MAX_BODY_BYTES);
+            return;
         }
+        mContext.bufferedResponses().onBuffered(this, mSplitter.bufferedBytes());
     }
 
-    private void abortMalformed(String detail) {
-        mConnection.abort();
+    /** Ends the attempt because its response cannot be used. */
+    void abortMalformed(String detail) {
+        if (mConnection != null) {
+            mConnection.abort();
+        }
         end(AttemptResult.of(AttemptResult.Kind.MALFORMED, detail));
     }
 
@@ -436,6 +447,7 @@
         }
         mEnded = true;
         endPause();
+        mContext.bufferedResponses().release(this);
         mTarget.onRequestEnded();
         mListener.onAttemptEnded(this, result);
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -33,6 +33,7 @@
     private final ColdStartLimiter mColdStartLimiter;
     private final CrashDetector mCrashDetector;
     private final LivenessCheck mLivenessCheck;
+    private final BufferedResponses mBufferedResponses = new BufferedResponses();
     private final RetryBudgets mRetryBudgets;
     private final ResponseFactory mResponses;
     private final RequestMeters mMeters;
@@ -195,6 +196,10 @@
         return mAdmissions;
     }
 
+    BufferedResponses bufferedResponses() {
+        return mBufferedResponses;
+    }
+
     LivenessCheck livenessCheck() {
         return mLivenessCheck;
     }
