Bound buffered responses by the heap, not by a constant

Change: a quarter of the heap of the process, 32 MB for a router of deploy/system.toml; a holder is an interface, so that the bound has a test of its own in which responses without end are ended and others stay.

Ruled out: changing SlowReadersTest; its responses are whole.

Evidence: SlowReadersTest passes, BufferedResponsesTest, EndlessResponseTest.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -24,7 +24,7 @@
  * <p>Successful responses on streaming routes are forwarded event by event. All other responses are
  * buffered until complete, so that a failed one can be replaced by a retry.
  */
-final class Attempt implements ConnectionCallback, ResponseListener {
+final class Attempt implements ConnectionCallback, ResponseListener, BufferedResponses.Holder {
     /** Larger response bodies and events count as malformed. */
     private static final int MAX_BODY_BYTES = 16 << 20;
 
@@ -300,7 +300,7 @@
         }
         mBody.writeBytes(bytes);
         if (mBody.readableBytes() > MAX_BODY_BYTES) {
-            abortMalformed("response body exceeds byte limit " + MAX_BODY_BYTES);
+            onResponseTooLarge("response body exceeds byte limit " + MAX_BODY_BYTES);
             return;
         }
         mContext.bufferedResponses().onBuffered(this, mBody.readableBytes());
@@ -315,14 +315,14 @@
             return;
         }
         if (mSplitter.bufferedBytes() > MAX_BODY_BYTES) {
-            abortMalformed("event exceeds byte limit " + MAX_BODY_BYTES);
+            onResponseTooLarge("event exceeds byte limit " + MAX_BODY_BYTES);
             return;
         }
         mContext.bufferedResponses().onBuffered(this, mSplitter.bufferedBytes());
     }
 
-    /** Ends the attempt because its response cannot be used. */
-    void abortMalformed(String detail) {
+    @Override
+    public void onResponseTooLarge(String detail) {
         if (mConnection != null) {
             mConnection.abort();
         }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/BufferedResponses.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/BufferedResponses.java
@@ -9,48 +9,67 @@
  * complete. Above the bound, the largest one is ended. Used on the event loop.
  */
 final class BufferedResponses {
-    /** A quarter of the heap that {@code deploy/system.toml} gives to a router. */
-    static final long MAX_TOTAL_BYTES = 32 << 20;
-
     /** Smaller responses are not tracked. */
-    private static final int MIN_TRACKED_BYTES = 64 << 10;
+    static final int MIN_TRACKED_BYTES = 64 << 10;
+
+    /** A router with a heap of 128 MB then holds two responses of the greatest size. */
+    private static final double HEAP_SHARE = 0.25;
+
+    private final long mMaxBytes;
+    private final Map<Holder, Integer> mTracked = new HashMap<>();
+    private long mTotalBytes;
+
+    /** An attempt that buffers a response. */
+    interface Holder {
+        /** Called when the attempt has to end because of its size. */
+        void onResponseTooLarge(String detail);
+    }
 
-    private final Map<Attempt, Integer> mTracked = new HashMap<>();
-    private long mTotal;
-    private long mPeak;
+    private BufferedResponses(long maxBytes) {
+        mMaxBytes = maxBytes;
+    }
+
+    /** Creates a bound of the given number of bytes. */
+    static BufferedResponses of(long maxBytes) {
+        return new BufferedResponses(maxBytes);
+    }
+
+    /** Creates a bound that suits the heap of this process. */
+    static BufferedResponses forHeap() {
+        return of((long) (HEAP_SHARE * Runtime.getRuntime().maxMemory()));
+    }
 
-    /** Records how many bytes an attempt holds; may end this or another attempt. */
-    void onBuffered(Attempt a, int bytes) {
+    /** Records how many bytes a holder has; may end this or another one. */
+    void onBuffered(Holder h, int bytes) {
+        release(h);
         if (bytes < MIN_TRACKED_BYTES) {
-            release(a);
             return;
         }
-        Integer before = mTracked.put(a, bytes);
-        mTotal += bytes - (before == null ? 0 : before);
-        mPeak = Math.max(mPeak, mTotal);
-        while (mTotal > MAX_TOTAL_BYTES) {
+        mTracked.put(h, bytes);
+        mTotalBytes += bytes;
+        while (mTotalBytes > mMaxBytes) {
             endLargest();
         }
     }
 
     private void endLargest() {
-        Attempt largest =
+        Holder largest =
                 mTracked.entrySet().stream()
                         .max(Comparator.comparingInt(Map.Entry::getValue))
                         .orElseThrow()
                         .getKey();
         release(largest);
-        largest.abortMalformed("buffered responses exceed byte limit " + MAX_TOTAL_BYTES);
+        largest.onResponseTooLarge("all buffered responses exceed byte limit " + mMaxBytes);
     }
 
-    /** Removes an attempt that holds no more bytes. */
-    void release(Attempt a) {
-        Integer bytes = mTracked.remove(a);
-        mTotal -= bytes == null ? 0 : bytes;
+    /** Removes a holder that has no more bytes. */
+    void release(Holder h) {
+        Integer bytes = mTracked.remove(h);
+        mTotalBytes -= bytes == null ? 0 : bytes;
     }
 
-    /** Returns the largest number of bytes held so far. */
-    long peakBytes() {
-        return mPeak;
+    /** Returns the number of bytes held by tracked responses. */
+    long totalBytes() {
+        return mTotalBytes;
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -33,7 +33,7 @@
     private final ColdStartLimiter mColdStartLimiter;
     private final CrashDetector mCrashDetector;
     private final LivenessCheck mLivenessCheck;
-    private final BufferedResponses mBufferedResponses = new BufferedResponses();
+    private final BufferedResponses mBufferedResponses = BufferedResponses.forHeap();
     private final RetryBudgets mRetryBudgets;
     private final ResponseFactory mResponses;
     private final RequestMeters mMeters;
