Do not forward events older than the caller's position

Callers whose stream went on at a target that sends more than what follows Last-Event-Id would have got older events again: ids that go back.

Cause: whatever a continuation sent was forwarded; nothing compared its ids with the position that the request had named.

Ruled out: breaking such streams off. Ids name events, so that what is left after the older ones are removed is the rest of the stream.

Change: RepeatedEvents removes events up to the position until the first one beyond it: equal ids, lower numbers, and events without an id among them. Ids that are no numbers are compared for equality only. This also holds for a caller that resumes.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RepeatedEvents.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RepeatedEvents.java
@@ -7,22 +7,31 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Removes from the response to one attempt the events that the caller has received from earlier
  * attempts. Used on the event loop.
  *
  * <p>A target that continues a stream sends all events after the last id again, also those without
- * an id that were forwarded already. If no event had an id, the stream starts from the beginning,
- * and a target that sends other events than before does not continue it.
+ * an id that were forwarded already. One that sends older events as well has them removed by their
+ * ids, which rise within a stream. If no event had an id, the stream starts from the beginning, and
+ * a target that sends other events than before does not continue it.
  */
 final class RepeatedEvents {
-    private final boolean mFromBeginning;
+    private static final int MAX_DIGITS = 18;
+
+    private final Optional<String> mLastId;
     private final List<byte[]> mExpected;
+    private final boolean mFromBeginning;
+    private boolean mPassed;
+    private boolean mAmongOlder;
 
     private RepeatedEvents(StreamPosition position) {
-        mFromBeginning = position.lastEventId().isEmpty();
+        mLastId = position.lastEventId();
         mExpected = new ArrayList<>(position.unidentified());
+        mFromBeginning = mLastId.isEmpty();
+        mPassed = mFromBeginning && mExpected.isEmpty();
     }
 
     /** Creates a filter for an attempt that continues at the given position. */
@@ -35,23 +44,21 @@
      * the stream.
      */
     Optional<byte[]> remove(byte[] events) {
-        if (mExpected.isEmpty()) {
+        if (mPassed) {
             return Optional.of(events);
         }
         ByteArrayOutputStream rest = new ByteArrayOutputStream(events.length);
         EventScanner s = EventScanner.of(events);
         while (s.next()) {
             byte[] event = Arrays.copyOfRange(events, s.start(), s.end());
-            boolean repeated = s.hasData() && s.id().isEmpty() && skipExpected(event);
-            if (!repeated && mFromBeginning && !mExpected.isEmpty() && s.hasData()) {
-                return Optional.empty();
+            if (!mPassed && s.hasData() && isRepeated(event, s.id())) {
+                continue;
             }
-            if (s.id().isPresent()) {
-                mExpected.clear();
-            }
-            if (!repeated) {
-                rest.writeBytes(event);
+            if (s.hasData() && !isPositionReached()) {
+                return Optional.empty();
             }
+            mPassed |= s.id().isPresent();
+            rest.writeBytes(event);
         }
         return Optional.of(rest.toByteArray());
     }
@@ -61,6 +68,31 @@
         return !mFromBeginning || mExpected.isEmpty();
     }
 
+    private boolean isRepeated(byte[] event, Optional<String> id) {
+        if (id.isEmpty()) {
+            return mAmongOlder || skipExpected(event);
+        }
+        if (mLastId.isEmpty() || !isUpTo(id.get(), mLastId.get())) {
+            return false;
+        }
+        mAmongOlder = !id.equals(mLastId);
+        return true;
+    }
+
+    private static boolean isUpTo(String id, String last) {
+        OptionalLong number = parse(id);
+        OptionalLong lastNumber = parse(last);
+        return id.equals(last)
+                || number.isPresent()
+                        && lastNumber.isPresent()
+                        && number.getAsLong() <= lastNumber.getAsLong();
+    }
+
+    private static OptionalLong parse(String id) {
+        boolean isNumber = id.length() <= MAX_DIGITS && id.chars().allMatch(Character::isDigit);
+        return isNumber ? OptionalLong.of(Long.parseLong(id)) : OptionalLong.empty();
+    }
+
     /** Removes an expected event and those before it; returns false if there is none like it. */
     private boolean skipExpected(byte[] event) {
         int candidates = mFromBeginning ? Math.min(1, mExpected.size()) : mExpected.size();
