Begin a caller's stream only with an event that it has not received

A caller that resumed got a closed connection without a response head if its target sent only older events and then broke off: the head had been written, not flushed, and the stream counted as begun, so that it could neither be retried as a whole nor end with a status.

Ruled out: flushing the head before closing, which leaves the caller a 200 without an event.

Change: events are filtered first; the stream starts with the first unseen one, or at the end of a whole response.

Evidence: StreamOrderTest red before, green now, with StreamContinuationTest and RouterRequestTest (62 tests).

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -16,6 +16,7 @@
 import org.forkseam.direct.io.ResponseListener;
 import org.forkseam.direct.spi.ResponseHead;
 
+import java.util.Optional;
 import java.util.function.Supplier;
 
 /**
@@ -341,15 +342,27 @@
         if (events.length == 0) {
             return;
         }
-        if (!mStreamStarted) {
-            mStreamStarted = true;
-            mListener.onStreamStarted(this);
-        }
-        if (!mEnded && !mListener.onEvents(this, events)) {
+        Optional<byte[]> unseen = mListener.unseenEvents(events);
+        if (unseen.isEmpty()) {
             mConnection.abort();
             end(
                     AttemptResult.of(
                             AttemptResult.Kind.NOT_CONTINUED, "events differ from those before"));
+            return;
+        }
+        if (unseen.get().length == 0) {
+            return;
+        }
+        startStream();
+        if (!mEnded) {
+            mListener.onEvents(this, unseen.get());
+        }
+    }
+
+    private void startStream() {
+        if (!mStreamStarted) {
+            mStreamStarted = true;
+            mListener.onStreamStarted(this);
         }
     }
 
@@ -410,9 +423,8 @@
     }
 
     private void complete(AttemptResult result) {
-        if (!mEnded && mForwardsEvents && !mStreamStarted) {
-            mStreamStarted = true;
-            mListener.onStreamStarted(this);
+        if (!mEnded && mForwardsEvents) {
+            startStream();
         }
         end(result);
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptListener.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptListener.java
@@ -2,6 +2,8 @@
 
 import io.netty.handler.codec.http.HttpResponse;
 
+import java.util.Optional;
+
 /** Receives the progress and the result of an attempt. Called on the event loop. */
 interface AttemptListener {
     /** Returns whether the request has finished or its caller has disconnected. */
@@ -20,10 +22,13 @@
     void onStreamStarted(Attempt attempt);
 
     /**
-     * Called with complete events of a stream; returns false if they do not continue the caller's
-     * stream.
+     * Returns those of the given complete events that the caller has not received; empty if they do
+     * not continue the caller's stream.
      */
-    boolean onEvents(Attempt attempt, byte[] events);
+    Optional<byte[]> unseenEvents(byte[] events);
+
+    /** Called with events that the caller has not received. */
+    void onEvents(Attempt attempt, byte[] events);
 
     /** Returns whether the stream may end where the response to the attempt ends. */
     boolean mayEndStream();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -421,7 +421,12 @@
     }
 
     @Override
-    public boolean onEvents(Attempt a, byte[] events) {
+    public Optional<byte[]> unseenEvents(byte[] events) {
+        return mStream.unseen(events);
+    }
+
+    @Override
+    public void onEvents(Attempt a, byte[] events) {
         if (!mHasEvents) {
             mHasEvents = true;
             onFirstEvents(a);
@@ -431,13 +436,10 @@
         if (a.outlivesCrashDelay()) {
             mQuarantineCheck.onPartsServed();
         }
-        if (!mStream.forward(events)) {
-            return false;
-        }
+        mStream.forward(events);
         if (!mSink.isWritable()) {
             a.setAutoRead(false);
         }
-        return true;
     }
 
     /**
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamRelay.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamRelay.java
@@ -66,18 +66,16 @@
     }
 
     /**
-     * Forwards those of the given complete events that the caller has not received; returns false
-     * if they do not continue the stream.
+     * Returns those of the given complete events that the caller has not received; empty if they do
+     * not continue the stream.
      */
-    boolean forward(byte[] events) {
-        Optional<byte[]> unseen = mRepeated.remove(events);
-        if (unseen.isEmpty()) {
-            return false;
-        }
-        if (unseen.get().length > 0) { // an empty chunk would end the response
-            mPosition.onForwarded(unseen.get());
-            mSink.writeBody(Unpooled.wrappedBuffer(unseen.get()));
-        }
-        return true;
+    Optional<byte[]> unseen(byte[] events) {
+        return mRepeated.remove(events);
+    }
+
+    /** Forwards events; there has to be one, as an empty chunk would end the response. */
+    void forward(byte[] events) {
+        mPosition.onForwarded(events);
+        mSink.writeBody(Unpooled.wrappedBuffer(events));
     }
 }
