Let older events lead to the position of a stream

Callers got a stream that ended as whole before its last piece, or one that joined pieces of two runs, when a target sent older events again and ended or went on before it had reached the last event that the caller has.

Cause: events that the caller has were removed, and the response counted as a continuation whatever else it held; its end counted as the end of the stream.

Ruled out: an end without any event, or with comments only, is a claim that nothing follows, and still completes the stream (two tests).

Change: a response that sends older events has to send the position's event again before it ends or sends others; otherwise it does not continue the stream. The same holds for a caller that comes back, at any router.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -440,7 +440,8 @@
         if (mHead.status().codeClass() == HttpStatusClass.SERVER_ERROR) {
             return AttemptResult.of(AttemptResult.Kind.FAILED, "status " + status);
         }
-        if (mListener.isStreamStarted() && !(mForwardsEvents && mListener.mayEndStream())) {
+        boolean mayEnd = mForwardsEvents ? mListener.mayEndStream() : !mListener.isStreamStarted();
+        if (!mayEnd) {
             return AttemptResult.of(AttemptResult.Kind.NOT_CONTINUED, "status " + status);
         }
         return AttemptResult.of(AttemptResult.Kind.ANSWERED, "status " + status);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RepeatedEvents.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RepeatedEvents.java
@@ -15,12 +15,12 @@
  *
  * <p>A target that continues a stream sends all events after the last id again, also those without
  * an id that were forwarded already. One that sends older events as well has them removed by their
- * ids. Events with a known id and other data belong to another run or numbering, which does not
- * continue the stream. Neither does one that begins too late, where the ids count the events. Of
- * ids from earlier responses only the last is known; numbers up to it are older, since ids rise. A
- * target that does not send the known events without an id again is of another run. If no event had
- * an id, the stream starts from the beginning, and a target that sends other events than before
- * does not continue it.
+ * ids, and has to send those up to the position before it sends others or ends. Events with a known
+ * id and other data belong to another run or numbering, which does not continue the stream. Neither
+ * does one that begins too late, where the ids count the events. Of ids from earlier responses only
+ * the last is known; numbers up to it are older, since ids rise. A target that does not send the
+ * known events without an id again is of another run. If no event had an id, the stream starts from
+ * the beginning, and a target that sends other events than before does not continue it.
  */
 final class RepeatedEvents {
     /** Kind of an event of the response. */
@@ -107,7 +107,7 @@
             if (!isPositionReached()) {
                 return mayHold(event, id) ? Kind.HELD : Kind.NOT_CONTINUING;
             }
-            if (skipsNumbers(id)) {
+            if (mAmongOlder || skipsNumbers(id)) {
                 return Kind.NOT_CONTINUING;
             }
         }
@@ -122,8 +122,16 @@
         }
     }
 
-    /** Returns whether a response that ends here has reached the caller's position. */
-    boolean isPositionReached() {
+    /**
+     * Returns whether the stream may end where the response ends: not before the caller's position.
+     * An empty response claims that nothing follows; one that ends among older events does not.
+     */
+    boolean mayEnd() {
+        return isPositionReached() && (mPassed || !mAmongOlder);
+    }
+
+    /** Returns whether the events without id that the caller has have come again. */
+    private boolean isPositionReached() {
         return mExpected.isEmpty();
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamRelay.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamRelay.java
@@ -68,7 +68,7 @@
 
     /** Returns whether the stream may end where the response to the current attempt ends. */
     boolean mayEnd() {
-        return mRepeated.isPositionReached();
+        return mRepeated.mayEnd();
     }
 
     /**
