Do not take events for older ones where numbers fall

Callers lost the events of a continuation, and got a stream that ended as whole without them, when the ids of a stream are numbers that fall: 9, 8, and after a break 7, 3.

Cause: a number up to that of the position counted as an older event, also where the forwarded numbers had fallen themselves.

Ruled out: comparing by id and data only, always. A caller that comes back is known by its last id only, and events beyond the history too; there the rule that ids rise is all there is.

Change: once a number has fallen, events are known by id and data only.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/EventNumbering.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/EventNumbering.java
@@ -15,18 +15,27 @@
     private long mLast;
     private int mEvents;
     private boolean mOther;
+    private boolean mFallen;
 
     /** Records the id of an event. */
     void onId(String id) {
         OptionalLong number = parse(id);
-        if (number.isEmpty() || mEvents > 0 && number.getAsLong() != mLast + 1) {
+        if (number.isEmpty()) {
             mOther = true;
             return;
         }
-        mLast = number.getAsLong();
+        long n = number.getAsLong();
+        mOther |= mEvents > 0 && n != mLast + 1;
+        mFallen |= mEvents > 0 && n < mLast;
+        mLast = n;
         mEvents++;
     }
 
+    /** Returns whether a number was lower than one before, so that numbers do not order events. */
+    boolean hasFallen() {
+        return mFallen;
+    }
+
     /** Records an event without id. */
     void onUnidentified() {
         mOther = true;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RepeatedEvents.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RepeatedEvents.java
@@ -40,6 +40,7 @@
     private final EventHistory mHistory;
     private final int mHistorySize;
     private final boolean mFromBeginning;
+    private final boolean mOrderedByNumbers;
 
     /** Events without id that came before the expected ones. */
     private final ByteArrayOutputStream mHeld = new ByteArrayOutputStream(0);
@@ -55,6 +56,7 @@
         mHistorySize = mHistory.size();
         mNextNumber = position.nextNumber();
         mFromBeginning = mLastId.isEmpty();
+        mOrderedByNumbers = position.isOrderedByNumbers();
         mPassed = mFromBeginning && mExpected.isEmpty();
     }
 
@@ -179,11 +181,12 @@
         return true;
     }
 
-    private static boolean isUpTo(String id, String last) {
+    private boolean isUpTo(String id, String last) {
         OptionalLong number = EventNumbering.parse(id);
         OptionalLong lastNumber = EventNumbering.parse(last);
         return id.equals(last)
-                || number.isPresent()
+                || mOrderedByNumbers
+                        && number.isPresent()
                         && lastNumber.isPresent()
                         && number.getAsLong() <= lastNumber.getAsLong();
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamPosition.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamPosition.java
@@ -49,6 +49,11 @@
         return mNumbering.next();
     }
 
+    /** Returns whether a lower number means an older event. */
+    boolean isOrderedByNumbers() {
+        return !mNumbering.hasFallen();
+    }
+
     /** Returns the events without id that were forwarded after the last one with an id. */
     List<byte[]> unidentified() {
         return mUnidentified;
