Remember the last event of a long stream

Callers got the last event twice when a stream of over 4,096 events broke and the next target sent it again, or all from the beginning; since the events up to the position have to come first, the stream was broken off instead.

Cause: events beyond the bound of the history were not recorded, and an event with the last id that is not recorded counts as a further one of that id.

Change: the last entry of a full history is the last event. The memory is as before.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/EventHistory.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/EventHistory.java
@@ -7,7 +7,8 @@
 /**
  * Ids and data of the events of a stream that were forwarded to the caller. Used on the event loop.
  *
- * <p>Takes 16 bytes per event, up to {@value #MAX_EVENTS} events; later ones are not recorded.
+ * <p>Takes 16 bytes per event, up to {@value #MAX_EVENTS} events; of later ones only the last is
+ * recorded, which a target that continues the stream may send again.
  */
 final class EventHistory {
     /** With more events, a target that starts from the beginning is recognized by numbers only. */
@@ -23,7 +24,7 @@
     /** Records an event. */
     void add(String id, long dataHash) {
         if (mSize == MAX_EVENTS) {
-            return;
+            mSize--;
         }
         if (mSize == mIds.length) {
             int capacity = Math.max(INITIAL_CAPACITY, 2 * mSize);
