Take a known id without data for a position

Callers got a stream that was broken off, or moved to another target, when its continuation named the position by an id without data before its events.

Cause: events are known by id and data, so that one without data counted as an event of another run with the same id.

Change: an event without data is known by its id, and is removed.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RepeatedEvents.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RepeatedEvents.java
@@ -95,7 +95,7 @@
 
     private Kind classify(byte[] event, EventScanner s) {
         Optional<String> id = s.id();
-        if (id.isPresent() && mHistory.hasEvent(id.get(), s.dataHash(), mHistorySize)) {
+        if (id.isPresent() && isKnown(id.get(), s)) {
             mAmongOlder = !id.equals(mLastId);
             return Kind.REPEATED;
         }
@@ -117,6 +117,13 @@
         return Kind.NEW;
     }
 
+    /** Returns whether the caller has the event; one without data only names a position. */
+    private boolean isKnown(String id, EventScanner s) {
+        return s.hasData()
+                ? mHistory.hasEvent(id, s.dataHash(), mHistorySize)
+                : mHistory.hasId(id, mHistorySize);
+    }
+
     private void releaseHeld(ByteArrayOutputStream out) {
         if (isPositionReached()) {
             out.writeBytes(mHeld.toByteArray());
