Find missing events behind others and within a continuation

Callers got a stream that lacked events and ended as whole, when its continuation began too late behind an event without an id or data, or had a gap between later events: at the seam of recorded and new events of a target.

Cause: the next number was compared with the first event beyond the position only, and not at all behind an event without an id.

Ruled out: gaps within a first response, and after few counted events. Ids only have to rise; there they may rise by other amounts.

Change: an event without an id takes one number at most. After eight events that the ids have counted, those of a continuation have to count on; a gap ends the attempt, and another target is asked for the missing events.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/EventNumbering.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/EventNumbering.java
@@ -12,6 +12,12 @@
     /** With fewer events, the ids may rise by one by chance. */
     private static final int MIN_EVENTS = 2;
 
+    /**
+     * Events after which all others have to be counted as well. More than for the first event of a
+     * continuation: a gap within the response of one target may be the target's own.
+     */
+    private static final int ESTABLISHED_EVENTS = 8;
+
     private long mLast;
     private int mEvents;
     private boolean mOther;
@@ -46,6 +52,11 @@
         return mOther || mEvents < MIN_EVENTS ? OptionalLong.empty() : OptionalLong.of(mLast + 1);
     }
 
+    /** Returns whether the ids have counted so many events that a gap is no chance. */
+    boolean isEstablished() {
+        return !mOther && mEvents >= ESTABLISHED_EVENTS;
+    }
+
     /** Parses an id; empty if it is no number of up to {@value #MAX_DIGITS} digits. */
     static OptionalLong parse(String id) {
         boolean isNumber =
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RepeatedEvents.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RepeatedEvents.java
@@ -17,10 +17,11 @@
  * an id that were forwarded already. One that sends older events as well has them removed by their
  * ids, and has to send those up to the position before it sends others or ends. Events with a known
  * id and other data belong to another run or numbering, which does not continue the stream. Neither
- * does one that begins too late, where the ids count the events. Of ids from earlier responses only
- * the last is known; numbers up to it are older, since ids rise. A target that does not send the
- * known events without an id again is of another run. If no event had an id, the stream starts from
- * the beginning, and a target that sends other events than before does not continue it.
+ * does one that begins too late or has gaps, where the ids count the events. Of ids from earlier
+ * responses only the last is known; numbers up to it are older, since ids rise. A target that does
+ * not send the known events without an id again is of another run. If no event had an id, the
+ * stream starts from the beginning, and a target that sends other events than before does not
+ * continue it.
  */
 final class RepeatedEvents {
     /** Kind of an event of the response. */
@@ -41,11 +42,14 @@
     private final int mHistorySize;
     private final boolean mFromBeginning;
     private final boolean mOrderedByNumbers;
+    private final boolean mCounted;
 
     /** Events without id that came before the expected ones. */
     private final ByteArrayOutputStream mHeld = new ByteArrayOutputStream(0);
 
+    /** The highest number that the next event may have; empty if the ids do not count. */
     private OptionalLong mNextNumber;
+
     private boolean mPassed;
     private boolean mAmongOlder;
 
@@ -55,6 +59,7 @@
         mHistory = position.history();
         mHistorySize = mHistory.size();
         mNextNumber = position.nextNumber();
+        mCounted = position.isCounted();
         mFromBeginning = mLastId.isEmpty();
         mOrderedByNumbers = position.isOrderedByNumbers();
         mPassed = mFromBeginning && mExpected.isEmpty();
@@ -102,17 +107,21 @@
         if (id.isPresent() && isOfAnotherRun(id.get())) {
             return Kind.NOT_CONTINUING;
         }
-        if (s.hasData() && !mPassed) {
+        boolean countsAsEvent = s.hasData() || id.isPresent();
+        if (countsAsEvent && !mPassed) {
             if (isRepeated(event, id)) {
                 return Kind.REPEATED;
             }
             if (!isPositionReached()) {
                 return mayHold(event, id) ? Kind.HELD : Kind.NOT_CONTINUING;
             }
-            if (mAmongOlder || skipsNumbers(id)) {
+            if (mAmongOlder) {
                 return Kind.NOT_CONTINUING;
             }
         }
+        if (countsAsEvent && skipsNumbers(id)) {
+            return Kind.NOT_CONTINUING;
+        }
         mPassed |= id.isPresent() && isPositionReached();
         return Kind.NEW;
     }
@@ -161,17 +170,27 @@
     }
 
     /**
-     * Returns whether events are missing before the first one beyond the position. Not if one
-     * without an id comes first, which may have taken the number.
+     * Returns whether events are missing before a new one. Events without an id may have taken a
+     * number each. Beyond the first new event, only if enough events were counted.
      */
     private boolean skipsNumbers(Optional<String> id) {
-        OptionalLong number = id.map(EventNumbering::parse).orElse(OptionalLong.empty());
-        boolean skips =
-                number.isPresent()
-                        && mNextNumber.isPresent()
-                        && number.getAsLong() > mNextNumber.getAsLong();
-        mNextNumber = OptionalLong.empty();
-        return skips;
+        if (mNextNumber.isEmpty()) {
+            return false;
+        }
+        long next = mNextNumber.getAsLong();
+        if (id.isEmpty()) {
+            mNextNumber = OptionalLong.of(next + 1);
+            return false;
+        }
+        OptionalLong number = EventNumbering.parse(id.get());
+        if (number.isPresent() && number.getAsLong() > next) {
+            return true;
+        }
+        mNextNumber =
+                number.isPresent() && mCounted
+                        ? OptionalLong.of(number.getAsLong() + 1)
+                        : OptionalLong.empty();
+        return false;
     }
 
     private boolean isRepeated(byte[] event, Optional<String> id) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamPosition.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamPosition.java
@@ -49,6 +49,11 @@
         return mNumbering.next();
     }
 
+    /** Returns whether so many ids count the events that others of the stream have to. */
+    boolean isCounted() {
+        return mNumbering.isEstablished();
+    }
+
     /** Returns whether a lower number means an older event. */
     boolean isOrderedByNumbers() {
         return !mNumbering.hasFallen();
