Check that an error response without a length is whole

Callers got a part of an error's body as whole, with its 5xx, when the target ended while it was sent without a length.

Cause: only successful and other final responses were checked after the close of their connection; a server error was passed on as it was.

Change: the error is checked when it is to be passed on; if its target does not live, the caller gets 502, or 504 at the deadline.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -26,6 +26,9 @@
  * buffered until complete, so that a failed one can be replaced by a retry.
  */
 final class Attempt implements ConnectionCallback, ResponseListener, BufferedResponses.Holder {
+    /** Name of the delimiter of a body without chunks and length. */
+    static final String DELIMITED_BY_CLOSE = "close";
+
     /** Larger response bodies and events count as malformed. */
     private static final int MAX_BODY_BYTES = 16 << 20;
 
@@ -137,7 +140,7 @@
         if (HttpUtil.isTransferEncodingChunked(mHead)) {
             return "chunks";
         }
-        return HttpConnection.isSelfDelimited(mHead) ? "length" : "close";
+        return HttpConnection.isSelfDelimited(mHead) ? "length" : DELIMITED_BY_CLOSE;
     }
 
     /** Returns the time since the request was sent, or 0 before. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/FinalResponse.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/FinalResponse.java
@@ -12,6 +12,7 @@
     private final CallerRequest mRequest;
     private final ResponseSink mSink;
     private final Consumer<String> mOnEnd;
+    private boolean mEnded;
 
     /**
      * Creates the final response of a request.
@@ -26,7 +27,11 @@
         mContext = context;
         mRequest = request;
         mSink = sink;
-        mOnEnd = onEnd;
+        mOnEnd =
+                outcome -> {
+                    mEnded = true;
+                    onEnd.accept(outcome);
+                };
     }
 
     /** Completes a stream. */
@@ -43,8 +48,29 @@
         mSink.respond(mContext.responses().full(a.head(), a.body(), bodiless));
     }
 
-    /** Forwards a target's error response. */
+    /**
+     * Forwards a target's error response. One without a length is whole only if its target lives.
+     */
     void forwardFailure(Attempt a) {
+        if (!a.bodyDelimiter().equals(Attempt.DELIMITED_BY_CLOSE)) {
+            sendFailure(a);
+            return;
+        }
+        mContext.livenessCheck().check(a.target(), liveness -> onLiveness(a, liveness));
+    }
+
+    private void onLiveness(Attempt a, LivenessCheck.Result liveness) {
+        if (mEnded || !mSink.isOpen()) {
+            return; // the deadline has passed, or the caller has left
+        }
+        if (liveness == LivenessCheck.Result.LIVES) {
+            sendFailure(a);
+        } else {
+            fail("broken", false);
+        }
+    }
+
+    private void sendFailure(Attempt a) {
         mOnEnd.accept("target_failed");
         mSink.respond(mContext.responses().full(a.head(), a.body(), false));
     }
