Do not count comments as progress of a stream

Callers got no event for as long as a target sent nothing but comments, and gave the stream up, although another target could have continued it.

Callers measure the pause between events.

Ruled out: the same before the first event, where comments show that the target works on a prompt, and in the middle of a large event.

Change: once a stream has brought an event, its pause is that between events. Without a target that can go on it stays, as before.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -153,10 +153,23 @@
      * because the caller is slow.
      */
     long silentMillis(long now) {
+        return readingMillis(mLastReceivedAt, now);
+    }
+
+    /**
+     * Returns the time since the request was sent, or since a later time; 0 while nothing is read
+     * because the caller is slow.
+     */
+    long readingMillis(long since, long now) {
         if (!isSent() || mPaused) {
             return 0;
         }
-        return now - Math.max(Math.max(mSentAt, mLastReceivedAt), mResumedAt);
+        return now - Math.max(Math.max(mSentAt, since), mResumedAt);
+    }
+
+    /** Returns whether a part of an event has arrived. */
+    boolean hasPartialEvent() {
+        return mSplitter.hasPartialEvent();
     }
 
     /** Returns the time since the response head arrived, or 0 before it. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -71,7 +71,7 @@
         mStallCheck = new StallCheck(context, mTargetSelection);
         mPlacement = new PromptPlacement(context, mTargetSelection);
         mFailureResponder = new FailureResponder(context, mResponse, mAttempts, mTargetSelection);
-        mStream = new StreamRelay(context.responses(), sink);
+        mStream = new StreamRelay(context, sink);
         mReadAt = context.now();
     }
 
@@ -529,7 +529,7 @@
         if (!mAttempts.allowsRetry(route())) {
             return false;
         }
-        return mStallCheck.isStalled(a, mAdmission, mStream.isStarted(), readUntil);
+        return mStallCheck.isStalled(a, mAdmission, mStream, readUntil);
     }
 
     private boolean canReplaceAttempt() {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/StallCheck.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/StallCheck.java
@@ -46,13 +46,14 @@
     }
 
     /** Returns whether the attempt is stalled; counts a second attempt that is withheld. */
-    boolean isStalled(Attempt a, Admission admission, boolean streaming, long readUntil) {
+    boolean isStalled(Attempt a, Admission admission, StreamRelay stream, long readUntil) {
         Optional<AttemptPatience> patience = patience(admission);
+        boolean streaming = stream.isStarted();
         if (streaming || patience.isEmpty()) {
             mVerdict = AttemptPatience.Verdict.WAIT;
             return StallDetector.isStalled(
                     admission.route(),
-                    a.silentMillis(readUntil),
+                    streaming ? stream.pauseMillis(a, readUntil) : a.silentMillis(readUntil),
                     a.target().silentMillis(readUntil),
                     streaming);
         }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/StallDetector.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/StallDetector.java
@@ -23,7 +23,8 @@
     /**
      * Returns whether the attempt is stalled.
      *
-     * @param silent time in milliseconds without data for this request
+     * @param silent time in milliseconds without data for this request, once streaming without
+     *     events
      * @param targetSilent time in milliseconds without data from the target for any request
      * @param streaming whether events were already forwarded
      */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamPosition.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamPosition.java
@@ -72,11 +72,16 @@
         return mUnidentifiedBytes <= MAX_UNIDENTIFIED_BYTES;
     }
 
-    /** Records that complete events were forwarded. */
-    void onForwarded(byte[] events) {
+    /**
+     * Records that complete events were forwarded. Returns whether one has data or an id, unlike
+     * comments.
+     */
+    boolean onForwarded(byte[] events) {
+        boolean moved = false;
         EventScanner s = EventScanner.of(events);
         while (s.next()) {
             Optional<String> id = s.id();
+            moved |= id.isPresent() || s.hasData();
             if (id.isPresent()) {
                 mHistory.add(id.get(), s.dataHash());
                 mNumbering.onId(id.get());
@@ -88,6 +93,7 @@
                 addUnidentified(events, s);
             }
         }
+        return moved;
     }
 
     private void addUnidentified(byte[] events, EventScanner s) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamRelay.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamRelay.java
@@ -12,15 +12,16 @@
  * event loop.
  */
 final class StreamRelay {
-    private final ResponseFactory mResponses;
+    private final RouterContext mContext;
     private final ResponseSink mSink;
     private StreamPosition mPosition = StreamPosition.after(Optional.empty());
     private RepeatedEvents mRepeated = RepeatedEvents.after(mPosition);
     private HttpResponse mHead;
     private boolean mResumable;
+    private long mProgressAt;
 
-    StreamRelay(ResponseFactory responses, ResponseSink sink) {
-        mResponses = responses;
+    StreamRelay(RouterContext context, ResponseSink sink) {
+        mContext = context;
         mSink = sink;
     }
 
@@ -39,6 +40,16 @@
         return mHead != null;
     }
 
+    /**
+     * Returns for how long the attempt has brought no event, of which comments are none: callers
+     * give up a stream by its events. Until the first event, comments show that the target works on
+     * it.
+     */
+    long pauseMillis(Attempt a, long now) {
+        boolean working = mProgressAt == 0 || a.hasPartialEvent();
+        return working ? a.silentMillis(now) : a.readingMillis(mProgressAt, now);
+    }
+
     /** Returns the position of the caller. */
     StreamPosition position() {
         return mPosition;
@@ -58,7 +69,7 @@
     /** Sends the head of the response. */
     void start(HttpResponse head) {
         mHead = head;
-        mSink.writeHead(mResponses.streamHead(head));
+        mSink.writeHead(mContext.responses().streamHead(head));
     }
 
     /** Called before an attempt, which continues at the current position. */
@@ -76,13 +87,17 @@
      * not continue the stream.
      */
     Optional<byte[]> unseen(byte[] events) {
-        return mRepeated.remove(events);
+        Optional<byte[]> unseen = mRepeated.remove(events);
+        if (unseen.isPresent() && unseen.get().length == 0) {
+            mProgressAt = mContext.now(); // repeated events lead to the position
+        }
+        return unseen;
     }
 
     /** Forwards events; there has to be one, as an empty chunk would end the response. */
     void forward(byte[] events) {
-        if (mResumable) {
-            mPosition.onForwarded(events);
+        if (mResumable && mPosition.onForwarded(events)) {
+            mProgressAt = mContext.now();
         }
         mSink.writeBody(Unpooled.wrappedBuffer(events));
     }
