Tell a caller that its stream does not go on

A caller that came back with its last event got a connection that was closed without a response, when the target sent older events only and ended.

Cause: since such a response does not continue the stream; the head of the stream was sent before that was judged.

Change: a stream starts at its end only if the response is whole and goes on.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -439,7 +439,7 @@
     }
 
     private void complete(AttemptResult result) {
-        if (!mEnded && mForwardsEvents) {
+        if (!mEnded && mForwardsEvents && result.kind() == AttemptResult.Kind.ANSWERED) {
             startStream();
         }
         end(result);
