Count what targets send beyond the responses that are due

The record of the incident cannot tell whether bytes were received on a connection outside of an exchange, how many exchanges it had carried, and whether a response was skipped.

Adds counters by kind (forkseam_surplus_total, forkseam_surplus_bytes_total, surplus in the dump) and the line surplus_received, once for a target that begins to send such bytes. A handler before the decoder sees the bytes, since the decoder tells nothing of a part of a head. What is done with the bytes is unchanged.

SurplusCountsTest (2 cases), HttpConnectionTest, EarlyResponseTest and StalledClientTest pass.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -216,7 +216,14 @@
 
     /** Returns the meters; bind them on the event loop. */
     public MeterBinder meters() {
-        return mContext.meters();
+        return registry -> {
+            mContext.meters().bindTo(registry);
+            surplus().bindTo(registry);
+        };
+    }
+
+    private SurplusMeters surplus() {
+        return SurplusMeters.of(mContext.targetConnections().surplus());
     }
 
     /** Returns whether the router is ready for callers. */
@@ -235,6 +242,7 @@
         m.put("buffered_bytes", mContext.bufferedResponses().totalBytes());
         m.put("target_connections", mContext.targetConnections().openCount());
         m.put("target_connections_opened", mContext.targetConnections().openedCount());
+        m.put("surplus", surplus().dump());
         m.put("cold_passed_over", mContext.coldStartLimiter().skipped());
         m.put("target_crashes", mContext.crashDetector().crashCount());
         m.put("leaving", mContext.isDraining());
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetConnections.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetConnections.java
@@ -6,6 +6,7 @@
 import org.forkseam.core.util.Clock;
 import org.forkseam.direct.io.ConnectionPool;
 import org.forkseam.direct.io.Connector;
+import org.forkseam.direct.io.SurplusCounts;
 
 import java.util.HashMap;
 import java.util.Iterator;
@@ -65,6 +66,10 @@
         return mPools.values().stream().mapToInt(ConnectionPool::openCount).sum();
     }
 
+    SurplusCounts surplus() {
+        return mConnector.surplus();
+    }
+
     long openedCount() {
         return mConnector.openedCount();
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/ConnectionPool.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/ConnectionPool.java
@@ -89,6 +89,11 @@
         mIdle.addFirst(c);
     }
 
+    /** Counts what the server sent beyond the response that was due. */
+    void onSurplus(SurplusKind kind, int bytes, int exchanges) {
+        mConnector.surplus().record(mAddress, kind, bytes, exchanges, mClock.nowMillis());
+    }
+
     void onClosed(HttpConnection c) {
         mOpenCount--;
         mIdle.remove(c);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/Connector.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/Connector.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -29,6 +30,7 @@
     private static final int MAX_HEADER_BYTES = 32_768;
 
     private final Bootstrap mBootstrap;
+    private final SurplusCounts mSurplus = SurplusCounts.create();
     private long mOpenedCount;
 
     private Connector(EventLoopGroup group) {
@@ -51,13 +53,18 @@
         return mOpenedCount;
     }
 
+    /** Returns what servers have sent beyond the responses that were due. */
+    public SurplusCounts surplus() {
+        return mSurplus;
+    }
+
     void connect(String address, HttpConnection c, ConnectionCallback callback, Runnable onFailed) {
         Bootstrap b = mBootstrap.clone();
         b.handler(
                 new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(codec(), c);
+                        addHandlers(ch.pipeline(), c);
                     }
                 });
         ChannelFuture connecting = b.connect(Addresses.parse(address));
@@ -96,6 +103,11 @@
                 : String.valueOf(cause);
     }
 
+    /** Adds the handlers of a connection. */
+    static void addHandlers(ChannelPipeline pipeline, HttpConnection c) {
+        pipeline.addLast(new ExchangeGuard(c), codec(), c);
+    }
+
     private static HttpClientCodec codec() {
         HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
         return new HttpClientCodec(config, false, false);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
@@ -36,6 +36,7 @@
     private boolean mSelfDelimited;
     private boolean mEndedByClose;
     private boolean mReusable = true;
+    private int mExchanges;
     private long mIdleSince;
     private long mMaxIdleMillis = Long.MAX_VALUE;
 
@@ -58,6 +59,7 @@
         mMatchesRequest = matchesRequest;
         mInResponse = false;
         mSkipping = false;
+        mExchanges++;
         mWritten = mChannel.writeAndFlush(request);
     }
 
@@ -106,6 +108,18 @@
         return mMaxIdleMillis;
     }
 
+    /** Returns whether a response is due. */
+    boolean isActive() {
+        return mListener != null;
+    }
+
+    /** Counts bytes that were received while no response was due. */
+    void onBytesOutside(int bytes) {
+        if (mReusable) {
+            mPool.onSurplus(SurplusKind.OUTSIDE_EXCHANGE, bytes, mExchanges);
+        }
+    }
+
     void close() {
         mReusable = false;
         if (mChannel != null) {
@@ -167,6 +181,7 @@
         if (!mMatchesRequest.test(r)) {
             mSkipping = true;
             mReusable = false;
+            mPool.onSurplus(SurplusKind.OTHER_REQUEST, 0, mExchanges);
             return;
         }
         mSelfDelimited = isSelfDelimited(r);
