Close a connection on bytes that no request is due

Callers got a 200 for a 500: bytes of a surplus response that arrive between two exchanges waited in the decoder and became the beginning of the next response.

Cause: the connection learned of bytes only when the decoder had an object for them, and of a head it has none before the blank line.

Change: bytes that are received while no request is active close the connection before the decoder sees them. The next request goes on another connection.

Ruled out: waiting for the end of the surplus response, which may never come.

Before: 7 of 7 cases of bytesOutsideAnExchangeCloseTheConnection fail, from the first byte on; after: 0 of 7, at each byte of seven surplus responses.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
@@ -113,11 +113,12 @@
         return mListener != null;
     }
 
-    /** Counts bytes that were received while no response was due. */
+    /** Closes the connection, since bytes were received while no response was due. */
     void onBytesOutside(int bytes) {
         if (mReusable) {
             mPool.onSurplus(SurplusKind.OUTSIDE_EXCHANGE, bytes, mExchanges);
         }
+        close();
     }
 
     void close() {
