End the reuse of a connection on bytes behind a response

Callers got a 200 for a 500: bytes of a surplus response in the same read as the response before it waited in the decoder and became the beginning of the next response. The pool took the connection back before they were decoded, so that a queued request could be sent on it in between.

Cause: HttpClientCodec does not tell what it holds.

Change: the response decoder belongs to the connection and tells what it has not decoded when a response ends. The response is delivered whole, the connection is closed, and nothing behind the response is decoded. Whether a response has a body is asked of the active request instead of a queue of methods; a response to a HEAD is self-delimited without a length, so that its connection is reused.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/Connector.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/Connector.java
@@ -8,8 +8,8 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 
 import java.net.ConnectException;
 import java.nio.channels.ClosedChannelException;
@@ -105,11 +105,9 @@
 
     /** Adds the handlers of a connection. */
     static void addHandlers(ChannelPipeline pipeline, HttpConnection c) {
-        pipeline.addLast(new ExchangeGuard(c), codec(), c);
-    }
-
-    private static HttpClientCodec codec() {
         HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
-        return new HttpClientCodec(config, false, false);
+        ResponseDecoder decoder = new ResponseDecoder(config, c);
+        c.setDecoder(decoder);
+        pipeline.addLast(new ExchangeGuard(c), decoder, new HttpRequestEncoder(), c);
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -21,16 +22,19 @@
  * A connection to an HTTP server that carries one exchange at a time. Used on the event loop.
  *
  * <p>A response that belongs to another request is skipped, and the connection is not reused. Bytes
- * received without an active exchange close the connection.
+ * received without an active exchange close the connection, as do bytes behind a response in the
+ * same read; that response is complete.
  *
  * @since 0.2
  */
 public final class HttpConnection extends ChannelInboundHandlerAdapter {
     private final ConnectionPool mPool;
     private Channel mChannel;
+    private ResponseDecoder mDecoder;
     private ResponseListener mListener;
     private Predicate<HttpResponse> mMatchesRequest;
     private ChannelFuture mWritten;
+    private boolean mBodyAllowed;
     private boolean mInResponse;
     private boolean mSkipping;
     private boolean mSelfDelimited;
@@ -44,6 +48,10 @@
         mPool = pool;
     }
 
+    void setDecoder(ResponseDecoder decoder) {
+        mDecoder = decoder;
+    }
+
     // ---------------------------------------------------------------- use
 
     /**
@@ -57,6 +65,7 @@
             ResponseListener listener) {
         mListener = listener;
         mMatchesRequest = matchesRequest;
+        mBodyAllowed = !HttpMethod.HEAD.equals(request.method());
         mInResponse = false;
         mSkipping = false;
         mExchanges++;
@@ -113,6 +122,11 @@
         return mListener != null;
     }
 
+    /** Returns whether a response may have a body, by the method of its request. */
+    boolean hasBody() {
+        return mBodyAllowed;
+    }
+
     /** Closes the connection, since bytes were received while no response was due. */
     void onBytesOutside(int bytes) {
         if (mReusable) {
@@ -185,7 +199,7 @@
             mPool.onSurplus(SurplusKind.OTHER_REQUEST, 0, mExchanges);
             return;
         }
-        mSelfDelimited = isSelfDelimited(r);
+        mSelfDelimited = !mBodyAllowed || isSelfDelimited(r);
         if (!HttpUtil.isKeepAlive(r) || !mSelfDelimited) {
             mReusable = false;
         }
@@ -229,7 +243,11 @@
         mListener = null;
         mInResponse = false;
         mEndedByClose = !mSelfDelimited && !mChannel.isActive();
-        mPool.release(this, written);
+        int bytesBehind = mDecoder.undecodedBytes();
+        if (bytesBehind > 0) {
+            mPool.onSurplus(SurplusKind.BEHIND_RESPONSE, bytesBehind, mExchanges);
+        }
+        mPool.release(this, written && bytesBehind == 0);
         l.onComplete();
     }
 
