Pair a response with its request by id, not by order

A surplus response that came while a HEAD was active was read without its body, so that the body counted as the next head; one to a HEAD was read with a body that took in the due response.

Cause: HttpClientCodec keeps a queue of methods, which a surplus response shifts; the active request alone does not tell either.

Change: the head decides, before the body is decoded. The response that is due has a body by the method of its request; one to another request by the methods that were sent on the connection before. If these do not agree, the response is malformed.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
@@ -29,12 +29,14 @@
  */
 public final class HttpConnection extends ChannelInboundHandlerAdapter {
     private final ConnectionPool mPool;
+    private final EarlierMethods mEarlierMethods = new EarlierMethods();
     private Channel mChannel;
     private ResponseDecoder mDecoder;
     private ResponseListener mListener;
     private Predicate<HttpResponse> mMatchesRequest;
     private ChannelFuture mWritten;
-    private boolean mBodyAllowed;
+    private HttpMethod mMethod = HttpMethod.GET;
+    private boolean mDue;
     private boolean mInResponse;
     private boolean mSkipping;
     private boolean mSelfDelimited;
@@ -65,7 +67,10 @@
             ResponseListener listener) {
         mListener = listener;
         mMatchesRequest = matchesRequest;
-        mBodyAllowed = !HttpMethod.HEAD.equals(request.method());
+        if (mExchanges > 0) {
+            mEarlierMethods.add(mMethod);
+        }
+        mMethod = request.method();
         mInResponse = false;
         mSkipping = false;
         mExchanges++;
@@ -122,9 +127,22 @@
         return mListener != null;
     }
 
-    /** Returns whether a response may have a body, by the method of its request. */
-    boolean hasBody() {
-        return mBodyAllowed;
+    /**
+     * Receives a head before its body is decoded. Returns whether the response may have a body, by
+     * the method of its request.
+     *
+     * @throws IllegalArgumentException if it is not known which request it belongs to
+     */
+    boolean mayHaveBody(HttpResponse r) {
+        if (r.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            return false;
+        }
+        mDue = mMatchesRequest.test(r);
+        return mDue ? !isHead() : mEarlierMethods.responseHasBody();
+    }
+
+    private boolean isHead() {
+        return HttpMethod.HEAD.equals(mMethod);
     }
 
     /** Closes the connection, since bytes were received while no response was due. */
@@ -193,13 +211,13 @@
             mSkipping = true;
             return;
         }
-        if (!mMatchesRequest.test(r)) {
+        if (!mDue) {
             mSkipping = true;
             mReusable = false;
             mPool.onSurplus(SurplusKind.OTHER_REQUEST, 0, mExchanges);
             return;
         }
-        mSelfDelimited = !mBodyAllowed || isSelfDelimited(r);
+        mSelfDelimited = isHead() || isSelfDelimited(r);
         if (!HttpUtil.isKeepAlive(r) || !mSelfDelimited) {
             mReusable = false;
         }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/ResponseDecoder.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/ResponseDecoder.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
 import java.util.List;
@@ -40,6 +41,7 @@
 
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage m) {
-        return super.isContentAlwaysEmpty(m) || !mConnection.hasBody();
+        boolean mayHaveBody = mConnection.mayHaveBody((HttpResponse) m);
+        return super.isContentAlwaysEmpty(m) || !mayHaveBody;
     }
 }
