--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
@@ -127,6 +127,11 @@
         return mListener != null;
     }
 
+    /** Returns whether the current response is skipped. */
+    boolean isSkipping() {
+        return mSkipping;
+    }
+
     /**
      * Receives a head before its body is decoded. Returns whether the response may have a body, by
      * the method of its request.
