Reject response heads that delimit their body ambiguously

Responses whose end readers see in different places were passed on, and their connections reused: a Transfer-Encoding other than chunked (the caller got the coded bytes without the header), chunks in HTTP/1.0, several lengths in HTTP/1.0, of which the decoder takes the first, an interim response with a body, whose body was read as the final response, and 101, which nobody asked for.

Change: these are malformed. A 204 that announces a body is complete, and its connection is not reused.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -142,6 +143,10 @@
         if (r.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             return false;
         }
+        if (r.status().code() == HttpResponseStatus.NO_CONTENT.code()
+                && BodyFraming.announcesBody(r)) {
+            mReusable = false; // the body would be read as the next response
+        }
         mDue = mMatchesRequest.test(r);
         return mDue ? !isHead() : mEarlierMethods.responseHasBody();
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/ResponseDecoder.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/ResponseDecoder.java
@@ -5,11 +5,13 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 
 import java.util.List;
@@ -31,6 +33,7 @@
     private final StatusLineFinder mFinder = new StatusLineFinder();
     private boolean mInHead = true;
     private boolean mChunked;
+    private int mLengthLines;
 
     ResponseDecoder(HttpDecoderConfig config, HttpConnection connection) {
         super(config);
@@ -92,6 +95,7 @@
     private void onDecoded(Object o) {
         if (o instanceof HttpResponse r) {
             mInHead = false;
+            mLengthLines = 0;
             mChunked = HttpUtil.isTransferEncodingChunked(r);
             mFinder.reset();
         }
@@ -100,9 +104,21 @@
         }
     }
 
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        AsciiString name = super.splitHeaderName(line, start, length);
+        // In version 1.0, the decoder uses the first of several lengths and drops the others.
+        if (HttpHeaderNames.CONTENT_LENGTH.contentEqualsIgnoreCase(name) && ++mLengthLines > 1) {
+            throw new IllegalArgumentException("several Content-Length lines");
+        }
+        return name;
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage m) {
-        boolean mayHaveBody = mConnection.mayHaveBody((HttpResponse) m);
+        HttpResponse r = (HttpResponse) m;
+        BodyFraming.validate(r);
+        boolean mayHaveBody = mConnection.mayHaveBody(r);
         return super.isContentAlwaysEmpty(m) || !mayHaveBody;
     }
 }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/io/ResponseBoundaryMatrixTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/io/ResponseBoundaryMatrixTest.java
@@ -99,6 +99,16 @@
         assertThat(e.isUsable()).isFalse();
     }
 
+    /** Guards against a body that follows a 204 later and is read as the next response. */
+    @Test
+    void noContentThatAnnouncesABodyEndsTheReuse() {
+        EmbeddedExchange e = new EmbeddedExchange();
+        e.send(HttpMethod.GET);
+        e.receive(head("204 No Content", "r1", "Content-Length: 4"));
+        assertThat(e.lastEnd()).isEqualTo("END 204");
+        assertThat(e.isUsable()).isFalse();
+    }
+
     // ---------------------------------------------------------------- before the due response
 
     /** Guards against a success made of a part of a surplus response and the due failure. */
