Test health checks and store calls at the boundaries of responses

Guards against parts of surplus responses that reach a call of the store, or vouch for a target in its health check, or wait behind a health check for a request.

--- a/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
@@ -94,6 +94,7 @@
     private volatile String mId = "";
     private volatile long mStartMillis;
     private volatile String mBeforeHealth = "";
+    private volatile String mAfterHealth = "";
     private volatile boolean mFrozen;
 
     private ScriptedServer(Script script) throws IOException {
@@ -139,6 +140,11 @@
         mBeforeHealth = text;
     }
 
+    /** Sets what is sent behind the response to each health check, in the same write. */
+    public void setAfterHealth(String text) {
+        mAfterHealth = text;
+    }
+
     /** Accepts connections from now on without reading from them. */
     public void freeze() {
         mFrozen = true;
@@ -172,7 +178,8 @@
                 }
                 Request r = read(s.getInputStream());
                 if (r.head().startsWith("GET " + HEALTH_PATH + " ")) {
-                    connection.send(mBeforeHealth + health(r.header("Expect-Instance")));
+                    connection.send(
+                            mBeforeHealth + health(r.header("Expect-Instance")) + mAfterHealth);
                     continue;
                 }
                 mReceived.add(r);
