--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
@@ -8,8 +8,10 @@
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -21,21 +23,27 @@
  * A connection to an HTTP server that carries one exchange at a time. Used on the event loop.
  *
  * <p>A response that belongs to another request is skipped, and the connection is not reused. Bytes
- * received without an active exchange close the connection.
+ * received without an active exchange close the connection, as do bytes behind a response in the
+ * same read; that response is complete.
  *
  * @since 0.2
  */
 public final class HttpConnection extends ChannelInboundHandlerAdapter {
     private final ConnectionPool mPool;
+    private final EarlierMethods mEarlierMethods = new EarlierMethods();
     private Channel mChannel;
+    private ResponseDecoder mDecoder;
     private ResponseListener mListener;
     private Predicate<HttpResponse> mMatchesRequest;
     private ChannelFuture mWritten;
+    private HttpMethod mMethod = HttpMethod.GET;
+    private boolean mDue;
     private boolean mInResponse;
     private boolean mSkipping;
     private boolean mSelfDelimited;
     private boolean mEndedByClose;
     private boolean mReusable = true;
+    private int mExchanges;
     private long mIdleSince;
     private long mMaxIdleMillis = Long.MAX_VALUE;
 
@@ -43,6 +51,10 @@
         mPool = pool;
     }
 
+    void setDecoder(ResponseDecoder decoder) {
+        mDecoder = decoder;
+    }
+
     // ---------------------------------------------------------------- use
 
     /**
@@ -56,8 +68,13 @@
             ResponseListener listener) {
         mListener = listener;
         mMatchesRequest = matchesRequest;
+        if (mExchanges > 0) {
+            mEarlierMethods.add(mMethod);
+        }
+        mMethod = request.method();
         mInResponse = false;
         mSkipping = false;
+        mExchanges++;
         mWritten = mChannel.writeAndFlush(request);
     }
 
@@ -106,6 +123,46 @@
         return mMaxIdleMillis;
     }
 
+    /** Returns whether a response is due. */
+    boolean isActive() {
+        return mListener != null;
+    }
+
+    /** Returns whether the current response is skipped. */
+    boolean isSkipping() {
+        return mSkipping;
+    }
+
+    /**
+     * Receives a head before its body is decoded. Returns whether the response may have a body, by
+     * the method of its request.
+     *
+     * @throws IllegalArgumentException if it is not known which request it belongs to
+     */
+    boolean mayHaveBody(HttpResponse r) {
+        if (r.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            return false;
+        }
+        if (r.status().code() == HttpResponseStatus.NO_CONTENT.code()
+                && BodyFraming.announcesBody(r)) {
+            mReusable = false; // the body would be read as the next response
+        }
+        mDue = mMatchesRequest.test(r);
+        return mDue ? !isHead() : mEarlierMethods.responseHasBody();
+    }
+
+    private boolean isHead() {
+        return HttpMethod.HEAD.equals(mMethod);
+    }
+
+    /** Closes the connection, since bytes were received while no response was due. */
+    void onBytesOutside(int bytes) {
+        if (mReusable) {
+            mPool.onSurplus(SurplusKind.OUTSIDE_EXCHANGE, bytes, mExchanges);
+        }
+        close();
+    }
+
     void close() {
         mReusable = false;
         if (mChannel != null) {
@@ -164,12 +221,13 @@
             mSkipping = true;
             return;
         }
-        if (!mMatchesRequest.test(r)) {
+        if (!mDue) {
             mSkipping = true;
             mReusable = false;
+            mPool.onSurplus(SurplusKind.OTHER_REQUEST, 0, mExchanges);
             return;
         }
-        mSelfDelimited = isSelfDelimited(r);
+        mSelfDelimited = isHead() || isSelfDelimited(r);
         if (!HttpUtil.isKeepAlive(r) || !mSelfDelimited) {
             mReusable = false;
         }
@@ -213,7 +271,11 @@
         mListener = null;
         mInResponse = false;
         mEndedByClose = !mSelfDelimited && !mChannel.isActive();
-        mPool.release(this, written);
+        int bytesBehind = mDecoder.undecodedBytes();
+        if (bytesBehind > 0) {
+            mPool.onSurplus(SurplusKind.BEHIND_RESPONSE, bytesBehind, mExchanges);
+        }
+        mPool.release(this, written && bytesBehind == 0);
         l.onComplete();
     }
 
