Let stand-ins of targets sign their successes

Cause: every success of the platform's targets carries a signature, and those of the stand-ins did not, so that no test noticed whether it counts.

--- a/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
@@ -17,6 +17,9 @@
  * among the received requests.
  */
 public final class ScriptedServer implements AutoCloseable {
+    /** Header by which a success shows that the target has made it. */
+    public static final String SIGNATURE = "Response-Signature: s\r\n";
+
     /** Path of the health check. */
     public static final String HEALTH_PATH = "/health";
 
@@ -109,11 +112,13 @@
         return new ScriptedServer(script);
     }
 
-    /** Returns a complete response with a length. */
+    /** Returns a complete, signed response with a length. */
     public static String ok(Request r, String body) {
         return "HTTP/1.1 200 OK\r\nRequest-Id: "
                 + r.header("Request-Id")
-                + "\r\nContent-Length: "
+                + "\r\n"
+                + SIGNATURE
+                + "Content-Length: "
                 + body.length()
                 + "\r\n\r\n"
                 + body;
