Treat statuses that HTTP does not define as malformed

Cause: every status that is no server error counted as an answer.

Ruled out: the decoder, which accepts any number by design.

Change: ResponseCheck decides from the head what a response counts as; a status outside of 200 to 599 is malformed, so that the request is retried where the route allows it and is otherwise a 502. The log says which status came and which are allowed. A response that belongs to another request is logged once per attempt (response_skipped), with its status and id.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -14,6 +14,7 @@
 import org.forkseam.direct.io.ExchangeFailure;
 import org.forkseam.direct.io.HttpConnection;
 import org.forkseam.direct.io.ResponseListener;
+import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.ResponseHead;
 
 import java.util.Optional;
@@ -53,6 +54,8 @@
     private HttpConnection mConnection;
     private HttpResponse mHead;
     private ResponseHead mDecodedHead;
+    private Optional<AttemptResult> mChecked = Optional.empty();
+    private boolean mSkipped;
     private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
     private boolean mPaused;
     private long mResumedAt;
@@ -250,15 +253,21 @@
     }
 
     /**
-     * Returns whether a response belongs to this request; only error responses may lack a request
-     * id. Called once per response head, before {@link #onHead}, and stores the decoded head.
+     * Returns whether a response belongs to this request. Called once per response head, before
+     * {@link #onHead}, and stores the decoded head and what it counts as.
      */
     private boolean matchesRequest(HttpResponse r) {
         mDecodedHead = mContext.headerCodec().decode(r);
-        if (mDecodedHead.requestId().isPresent()) {
-            return mDecodedHead.requestId().get().equals(mRequestId);
+        mChecked = ResponseCheck.check(mRequestId, r, mDecodedHead);
+        if (mChecked.isEmpty() && !mSkipped) {
+            mSkipped = true; // a faulty target may send many
+            Event.of("response_skipped")
+                    .with("request", mRequestId)
+                    .with("target", mTarget.entry().id())
+                    .with("detail", ResponseCheck.describeOther(r, mDecodedHead))
+                    .log();
         }
-        return r.status().codeClass() != HttpStatusClass.SUCCESS;
+        return mChecked.isPresent();
     }
 
     // ---------------------------------------------------------------- response
@@ -268,6 +277,12 @@
         onReceived();
         mHeadAt = mContext.now();
         mHead = head;
+        AttemptResult checked = mChecked.orElseThrow();
+        if (checked.kind() == AttemptResult.Kind.MALFORMED) {
+            mConnection.abort();
+            end(checked);
+            return;
+        }
         mForwardsEvents = mStream && isSuccess() && mListener.acceptsStream(head);
         mContext.fleetState().signals().onAnswer(mTarget, mDecodedHead);
         mContext.loadReports().onHead(mTarget, mDecodedHead);
@@ -430,20 +445,13 @@
     }
 
     private AttemptResult classify() {
-        int status = mHead.status().code();
-        if (mDecodedHead.wrongTarget()) {
-            return AttemptResult.of(AttemptResult.Kind.WRONG_TARGET, "status " + status);
-        }
-        if (mDecodedHead.notRun()) {
-            return AttemptResult.of(AttemptResult.Kind.REFUSED, "status " + status);
-        }
-        if (mHead.status().codeClass() == HttpStatusClass.SERVER_ERROR) {
-            return AttemptResult.of(AttemptResult.Kind.FAILED, "status " + status);
-        }
-        if (mListener.isStreamStarted() && !(mForwardsEvents && mListener.mayEndStream())) {
-            return AttemptResult.of(AttemptResult.Kind.NOT_CONTINUED, "status " + status);
+        AttemptResult checked = mChecked.orElseThrow();
+        boolean answered = checked.kind() == AttemptResult.Kind.ANSWERED;
+        boolean continues = mForwardsEvents && mListener.mayEndStream();
+        if (answered && mListener.isStreamStarted() && !continues) {
+            return AttemptResult.of(AttemptResult.Kind.NOT_CONTINUED, checked.detail());
         }
-        return AttemptResult.of(AttemptResult.Kind.ANSWERED, "status " + status);
+        return checked;
     }
 
     @Override
