Require the target's signature, and one id, of a success

Cause: a success counted by the request's id alone, of which the first of several was read; no other header was looked at.

Ruled out: retrying on the same connection; where the head is not the target's, where the next one begins is not known either, so that the connection closes.

Change: the decoded head holds all ids and signatures. ResponseCheck takes a response for malformed if it has more than one of either, a content encoding, or is a success without a signature. Such a request is retried where the route allows it and is otherwise a 502, at once. The detail of attempt_ended names the values and what is allowed.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/LivenessCheck.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/LivenessCheck.java
@@ -146,7 +146,7 @@
         /** Returns whether a response is not a late one to an earlier request on the connection. */
         private boolean isOwnResponse(HttpResponse head) {
             ResponseHead h = mContext.headerCodec().decode(head);
-            return h.requestId().isEmpty() || h.targetId().isPresent();
+            return h.requestIds().isEmpty() || h.targetId().isPresent();
         }
 
         /** Sends the health check on another connection unless this one has brought a response. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/ResponseCheck.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/ResponseCheck.java
@@ -1,5 +1,6 @@
 package org.forkseam.direct.flow;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 
@@ -28,7 +29,7 @@
             return Optional.empty();
         }
         String status = "status " + r.status().code();
-        Optional<String> fault = fault(r);
+        Optional<String> fault = fault(r, head);
         if (fault.isPresent()) {
             return Optional.of(
                     AttemptResult.of(AttemptResult.Kind.MALFORMED, status + ", " + fault.get()));
@@ -38,17 +39,29 @@
 
     /** Returns whether a response belongs to the request; only errors may lack an id. */
     private static boolean belongsTo(String requestId, HttpResponse r, ResponseHead head) {
-        return head.requestId().isEmpty()
-                ? !isSuccess(r)
-                : head.requestId().get().equals(requestId);
+        return head.requestIds().isEmpty() ? !isSuccess(r) : head.requestIds().contains(requestId);
     }
 
     /** Describes why a response with the request's id cannot be the target's, with its values. */
-    private static Optional<String> fault(HttpResponse r) {
+    private static Optional<String> fault(HttpResponse r, ResponseHead head) {
         int status = r.status().code();
         if (status < MIN_STATUS || status > MAX_STATUS) {
             return Optional.of(MIN_STATUS + " to " + MAX_STATUS + " allowed");
         }
+        if (head.requestIds().size() > 1) {
+            return Optional.of("request ids " + cut(head.requestIds()) + ", one allowed");
+        }
+        if (head.signatures().size() > 1) {
+            return Optional.of("signatures " + cut(head.signatures()) + ", one allowed");
+        }
+        if (r.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
+            String encoding = r.headers().get(HttpHeaderNames.CONTENT_ENCODING);
+            return Optional.of("content encoding " + cut(encoding) + ", none allowed");
+        }
+        boolean isSigned = head.signatures().stream().anyMatch(s -> !s.isEmpty());
+        if (isSuccess(r) && !isSigned) {
+            return Optional.of("without a signature");
+        }
         return Optional.empty();
     }
 
@@ -69,12 +82,13 @@
 
     /** Describes a response that does not belong to the request, for logs. */
     static String describeOther(HttpResponse r, ResponseHead head) {
-        String ids = head.requestId().map(ResponseCheck::cut).orElse("none");
-        return "status " + r.status().code() + ", request id " + ids + ", own one required";
+        String ids = head.requestIds().isEmpty() ? "none" : cut(head.requestIds());
+        return "status " + r.status().code() + ", request ids " + ids + ", own one required";
     }
 
     /** Returns the text of a value that a target has sent, with a length that fits a log line. */
-    private static String cut(String text) {
+    private static String cut(Object value) {
+        String text = value.toString();
         return text.length() <= MAX_LOGGED ? text : text.substring(0, MAX_LOGGED);
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/spi/ResponseHead.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/spi/ResponseHead.java
@@ -3,13 +3,15 @@
 import org.forkseam.core.load.ReportedLoad;
 import org.forkseam.core.member.AvailabilitySignal;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
  * Decoded head of a target's response. Immutable.
  *
- * @param requestId the id of the request it belongs to
+ * @param requestIds the ids of the request that it belongs to; one in a sound response
+ * @param signatures what shows that the target has made the response; one in a sound success
  * @param targetId the id of the target, which only responses to health checks name
  * @param notRun whether the target reports that it did not and will not run the request
  * @param wrongTarget whether a different target than expected listens at the address
@@ -20,7 +22,8 @@
  * @since 0.2
  */
 public record ResponseHead(
-        Optional<String> requestId,
+        List<String> requestIds,
+        List<String> signatures,
         Optional<String> targetId,
         boolean notRun,
         boolean wrongTarget,
--- a/forkseam-direct/src/test/java/org/forkseam/direct/flow/LoadReportsTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/flow/LoadReportsTest.java
@@ -15,6 +15,7 @@
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.KeyValuePair;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -49,7 +50,8 @@
 
     private static ResponseHead head(Optional<ReportedLoad> load, Optional<String> malformed) {
         return new ResponseHead(
-                Optional.empty(),
+                List.of(),
+                List.of(),
                 Optional.empty(),
                 false,
                 false,
