Skip responses without a request id

Cause: Attempt let errors lack the id that every response of a target carries. No test held on to this; no reason for it stands in the history of the code.

Ways weighed: taking such a response for malformed ends the request at once, but lets a late one end a request whose own response follows. Skipping it keeps that response; the close of the connection or the deadline ends the wait, and a silent target is left as before where the route allows it.

An unsafe request whose only response lacks an id now ends as a 504 at its deadline, or 502 at the close.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/ResponseCheck.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/ResponseCheck.java
@@ -25,7 +25,7 @@
      * @param requestId the id of the request, which is not empty
      */
     static Optional<AttemptResult> check(String requestId, HttpResponse r, ResponseHead head) {
-        if (!belongsTo(requestId, r, head)) {
+        if (!head.requestIds().contains(requestId)) {
             return Optional.empty();
         }
         String status = "status " + r.status().code();
@@ -37,11 +37,6 @@
         return Optional.of(AttemptResult.of(kind(r, head), status));
     }
 
-    /** Returns whether a response belongs to the request; only errors may lack an id. */
-    private static boolean belongsTo(String requestId, HttpResponse r, ResponseHead head) {
-        return head.requestIds().isEmpty() ? !isSuccess(r) : head.requestIds().contains(requestId);
-    }
-
     /** Describes why a response with the request's id cannot be the target's, with its values. */
     private static Optional<String> fault(HttpResponse r, ResponseHead head) {
         int status = r.status().code();
