Accept "not run" only where the protocol says so

A request that may run once was sent to a second target after any response with Not-Executed, a 200 and a 500 included, although the first may have run it.

Cause: notRun was looked at before the status, and only 503 counted as a promise.

Ruled out: passing the status on without the signature; callers obey the status.

Change: Not-Executed counts with 400, 408, 421, 429 and 503; with any other status the response contradicts itself, is malformed and may have run. 421 needs no Not-Executed. 408, 429 and 503 without it are failures: retried where the route allows it, otherwise a 502 of the router without a signature. All other failures keep status and signature. The rate of errors of a target now counts its own 408 and 429, as it counts a 503.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 
@@ -381,11 +380,6 @@
         }
     }
 
-    /** Returns whether the target rejected the request with 429. */
-    boolean isRateLimited() {
-        return mHead.status().code() == HttpResponseStatus.TOO_MANY_REQUESTS.code();
-    }
-
     /**
      * Returns, once per attempt, whether the target has been responding for longer than a request
      * takes to crash it.
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 
 import org.forkseam.core.admit.Decision;
 import org.forkseam.core.crash.RequestFingerprints;
@@ -224,7 +223,7 @@
             }
             return;
         }
-        if (result.kind() != AttemptResult.Kind.ANSWERED || a.isRateLimited()) {
+        if (result.kind() != AttemptResult.Kind.ANSWERED) {
             return;
         }
         if (!mStream.isStarted()) {
@@ -325,7 +324,7 @@
         mContext.meters().onAttempt(result.kind().name());
         result.recordOn(a.target(), mContext.errorRate(pool()), now);
         mTicket.ifPresent(t -> recordForAdmission(t, a, result));
-        boolean answered = result.kind() == AttemptResult.Kind.ANSWERED && !a.isRateLimited();
+        boolean answered = result.kind() == AttemptResult.Kind.ANSWERED;
         mPlacement.onAttemptEnded(answered);
         mQuarantineCheck.onAttemptEnd(
                 result.kind().mayHaveRun(), answered, answered && a.isSuccess());
@@ -583,21 +582,13 @@
     private void finishFailed(Attempt a, AttemptResult result) {
         if (result.kind() == AttemptResult.Kind.FAILED
                 && !mStream.isStarted()
-                && canForwardFailure(a)) {
+                && !ResponseCheck.isPromise(a.head())) {
             mResponse.forwardFailure(a);
             return;
         }
         respondWithFailure(result.kind().name().toLowerCase(Locale.ROOT));
     }
 
-    /**
-     * Returns whether a target's error response can be forwarded. A 503 cannot: callers take it to
-     * mean that the request was not run.
-     */
-    private static boolean canForwardFailure(Attempt a) {
-        return a.head().status().code() != HttpResponseStatus.SERVICE_UNAVAILABLE.code();
-    }
-
     private void respondWithFailure(String reason) {
         mFailureResponder.respond(reason, mAdmission, mStream.isStarted());
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/ResponseCheck.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/ResponseCheck.java
@@ -2,10 +2,12 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 
 import org.forkseam.direct.spi.ResponseHead;
 
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -17,6 +19,23 @@
     private static final int MAX_STATUS = 599;
     private static final int MAX_LOGGED = 64;
 
+    /** Statuses with which a target may report that it did not run a request. */
+    private static final List<Integer> REFUSALS =
+            List.of(
+                    HttpResponseStatus.BAD_REQUEST.code(),
+                    HttpResponseStatus.REQUEST_TIMEOUT.code(),
+                    HttpResponseStatus.MISDIRECTED_REQUEST.code(),
+                    HttpResponseStatus.TOO_MANY_REQUESTS.code(),
+                    HttpResponseStatus.SERVICE_UNAVAILABLE.code());
+
+    /** Statuses that callers take to mean that a request was not run and will not be. */
+    private static final List<Integer> PROMISES =
+            List.of(
+                    HttpResponseStatus.REQUEST_TIMEOUT.code(),
+                    HttpResponseStatus.MISDIRECTED_REQUEST.code(),
+                    HttpResponseStatus.TOO_MANY_REQUESTS.code(),
+                    HttpResponseStatus.SERVICE_UNAVAILABLE.code());
+
     private ResponseCheck() {}
 
     /**
@@ -53,6 +72,9 @@
             String encoding = r.headers().get(HttpHeaderNames.CONTENT_ENCODING);
             return Optional.of("content encoding " + cut(encoding) + ", none allowed");
         }
+        if (head.notRun() && !REFUSALS.contains(status)) {
+            return Optional.of("not run, " + REFUSALS + " allowed");
+        }
         boolean isSigned = head.signatures().stream().anyMatch(s -> !s.isEmpty());
         if (isSuccess(r) && !isSigned) {
             return Optional.of("without a signature");
@@ -68,13 +90,23 @@
             return AttemptResult.Kind.REFUSED;
         }
         boolean isServerError = r.status().codeClass() == HttpStatusClass.SERVER_ERROR;
-        return isServerError ? AttemptResult.Kind.FAILED : AttemptResult.Kind.ANSWERED;
+        return isServerError || isPromise(r)
+                ? AttemptResult.Kind.FAILED
+                : AttemptResult.Kind.ANSWERED;
     }
 
     private static boolean isSuccess(HttpResponse r) {
         return r.status().codeClass() == HttpStatusClass.SUCCESS;
     }
 
+    /**
+     * Returns whether callers take a response to mean that the request was not run, so that only a
+     * router that knows may send it.
+     */
+    static boolean isPromise(HttpResponse r) {
+        return PROMISES.contains(r.status().code());
+    }
+
     /** Describes a response that does not belong to the request, for logs. */
     static String describeOther(HttpResponse r, ResponseHead head) {
         String ids = head.requestIds().isEmpty() ? "none" : cut(head.requestIds());
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/StallCheck.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/StallCheck.java
@@ -34,13 +34,10 @@
     }
 
     /**
-     * Records the time until the first event of a stream or until a complete response. Rejections
-     * are skipped, since they say nothing about the time of work.
+     * Records the time until the first event of a stream or until a complete response, which is
+     * neither a failure nor a rejection.
      */
     void onResponse(Attempt a, Admission admission) {
-        if (a.isRateLimited()) {
-            return;
-        }
         long now = mContext.now();
         patience(admission).ifPresent(p -> p.onResponse(a.sentMillis(now), mQueueAtStart, now));
     }
