Send no id twice on one connection

Cause: the id is all that tells a late response from the one that is due, and both have the same.

Ways weighed: closing the connection after a refusal costs a new one for each; closing it when the id comes again drops a sound one. Remembering the ids per target instead of per connection would refuse the target.

Change: a connection remembers the ids of its last 256 requests (2 KB at most) and is passed over for these; the pool hands out another one or opens one. It stays in use for other requests. At the limit of connections, the one that has been idle for longest gives way.

Not told: a second response to an id after 256 others on its connection.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -86,7 +86,7 @@
     /** Acquires a connection and sends the request. */
     void start(long maxIdleMillis) {
         mTarget.onRequestSent(mStarted);
-        mContext.targetConnections().pool(mTarget).acquire(maxIdleMillis, this);
+        mContext.targetConnections().pool(mTarget).acquireFor(mRequestId, maxIdleMillis, this);
     }
 
     /** Cancels the attempt and closes its connection. The listener is not called any more. */
@@ -238,6 +238,7 @@
         }
         mSentAt = now;
         mSoftwareKey = mTarget.softwareKey();
+        mConnection.addRequestId(mRequestId);
         mConnection.send(mRequest.get(), this::matchesRequest, this);
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/ConnectionPool.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/ConnectionPool.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
+import java.util.function.Predicate;
 
 /**
  * Pool of connections to one address. The most recently used connection is reused first. Used on
@@ -48,21 +49,46 @@
      * @param maxIdleMillis connections that were idle for longer are closed instead
      */
     public void acquire(long maxIdleMillis, ConnectionCallback callback) {
+        acquire(maxIdleMillis, c -> true, callback);
+    }
+
+    /**
+     * Acquires a connection that has not carried a request with the given id. A late second
+     * response to that request could not be told from the one that is due.
+     *
+     * @param maxIdleMillis connections that were idle for longer are closed instead
+     */
+    public void acquireFor(String requestId, long maxIdleMillis, ConnectionCallback callback) {
+        acquire(maxIdleMillis, c -> !c.hasCarried(requestId), callback);
+    }
+
+    private void acquire(
+            long maxIdleMillis, Predicate<HttpConnection> suits, ConnectionCallback callback) {
         long now = mClock.nowMillis();
-        while (!mIdle.isEmpty()) {
-            HttpConnection c = mIdle.pollFirst();
-            if (c.isUsable() && c.idleMillis(now) < Math.min(maxIdleMillis, c.maxIdleMillis())) {
+        Iterator<HttpConnection> i = mIdle.iterator();
+        while (i.hasNext()) {
+            HttpConnection c = i.next();
+            boolean usable =
+                    c.isUsable() && c.idleMillis(now) < Math.min(maxIdleMillis, c.maxIdleMillis());
+            if (usable && !suits.test(c)) {
+                continue;
+            }
+            i.remove();
+            if (usable) {
                 callback.onConnection(c);
                 return;
             }
             c.close();
         }
-        if (mOpenCount >= mLimit) {
+        if (mOpenCount >= mLimit && mIdle.isEmpty()) {
             callback.onConnectionFailed(
                     ExchangeFailure.NO_CONNECTION_FREE,
                     mOpenCount + " connections open, limit reached");
             return;
         }
+        if (mOpenCount >= mLimit) {
+            mIdle.pollLast().close(); // none that is idle suits
+        }
         openReplacement(callback);
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
@@ -27,6 +27,7 @@
  */
 public final class HttpConnection extends ChannelInboundHandlerAdapter {
     private final ConnectionPool mPool;
+    private final RecentIds mRequestIds = new RecentIds();
     private Channel mChannel;
     private ResponseListener mListener;
     private Predicate<HttpResponse> mMatchesRequest;
@@ -61,6 +62,16 @@
         mWritten = mChannel.writeAndFlush(request);
     }
 
+    /** Records the id of the request that is sent next. */
+    public void addRequestId(String id) {
+        mRequestIds.add(id);
+    }
+
+    /** Returns whether one of the last requests on this connection had the given id. */
+    boolean hasCarried(String requestId) {
+        return mRequestIds.contains(requestId);
+    }
+
     /** Aborts the exchange and closes the connection without calling the listener. */
     public void abort() {
         mListener = null;
