--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 
@@ -14,6 +13,7 @@
 import org.forkseam.direct.io.ExchangeFailure;
 import org.forkseam.direct.io.HttpConnection;
 import org.forkseam.direct.io.ResponseListener;
+import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.ResponseHead;
 
 import java.util.Optional;
@@ -56,6 +56,8 @@
     private HttpConnection mConnection;
     private HttpResponse mHead;
     private ResponseHead mDecodedHead;
+    private Optional<AttemptResult> mChecked = Optional.empty();
+    private boolean mSkipped;
     private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
     private boolean mPaused;
     private long mResumedAt;
@@ -87,7 +89,7 @@
     /** Acquires a connection and sends the request. */
     void start(long maxIdleMillis) {
         mTarget.onRequestSent(mStarted);
-        mContext.targetConnections().pool(mTarget).acquire(maxIdleMillis, this);
+        mContext.targetConnections().pool(mTarget).acquireFor(mRequestId, maxIdleMillis, this);
     }
 
     /** Cancels the attempt and closes its connection. The listener is not called any more. */
@@ -252,6 +254,7 @@
         }
         mSentAt = now;
         mSoftwareKey = mTarget.softwareKey();
+        mConnection.addRequestId(mRequestId);
         mConnection.send(mRequest.get(), this::matchesRequest, this);
     }
 
@@ -266,15 +269,21 @@
     }
 
     /**
-     * Returns whether a response belongs to this request; only error responses may lack a request
-     * id. Called once per response head, before {@link #onHead}, and stores the decoded head.
+     * Returns whether a response belongs to this request. Called once per response head, before
+     * {@link #onHead}, and stores the decoded head and what it counts as.
      */
     private boolean matchesRequest(HttpResponse r) {
         mDecodedHead = mContext.headerCodec().decode(r);
-        if (mDecodedHead.requestId().isPresent()) {
-            return mDecodedHead.requestId().get().equals(mRequestId);
+        mChecked = ResponseCheck.check(mRequestId, r, mDecodedHead);
+        if (mChecked.isEmpty() && !mSkipped) {
+            mSkipped = true; // a faulty target may send many
+            Event.of("response_skipped")
+                    .with("request", mRequestId)
+                    .with("target", mTarget.entry().id())
+                    .with("detail", ResponseCheck.describeOther(r, mDecodedHead))
+                    .log();
         }
-        return r.status().codeClass() != HttpStatusClass.SUCCESS;
+        return mChecked.isPresent();
     }
 
     // ---------------------------------------------------------------- response
@@ -284,6 +293,12 @@
         onReceived();
         mHeadAt = mContext.now();
         mHead = head;
+        AttemptResult checked = mChecked.orElseThrow();
+        if (checked.kind() == AttemptResult.Kind.MALFORMED) {
+            mConnection.abort();
+            end(checked);
+            return;
+        }
         mForwardsEvents = mStream && isSuccess() && mListener.acceptsStream(head);
         mContext.fleetState().signals().onAnswer(mTarget, mDecodedHead);
         mContext.loadReports().onHead(mTarget, mDecodedHead);
@@ -382,11 +397,6 @@
         }
     }
 
-    /** Returns whether the target rejected the request with 429. */
-    boolean isRateLimited() {
-        return mHead.status().code() == HttpResponseStatus.TOO_MANY_REQUESTS.code();
-    }
-
     /**
      * Returns, once per attempt, whether the target has been responding for longer than a request
      * takes to crash it.
@@ -446,21 +456,13 @@
     }
 
     private AttemptResult classify() {
-        int status = mHead.status().code();
-        if (mDecodedHead.wrongTarget()) {
-            return AttemptResult.of(AttemptResult.Kind.WRONG_TARGET, "status " + status);
-        }
-        if (mDecodedHead.notRun()) {
-            return AttemptResult.of(AttemptResult.Kind.REFUSED, "status " + status);
-        }
-        if (mHead.status().codeClass() == HttpStatusClass.SERVER_ERROR) {
-            return AttemptResult.of(AttemptResult.Kind.FAILED, "status " + status);
-        }
+        AttemptResult checked = mChecked.orElseThrow();
+        boolean answered = checked.kind() == AttemptResult.Kind.ANSWERED;
         boolean mayEnd = mForwardsEvents ? mListener.mayEndStream() : !mListener.isStreamStarted();
-        if (!mayEnd) {
-            return AttemptResult.of(AttemptResult.Kind.NOT_CONTINUED, "status " + status);
+        if (answered && !mayEnd) {
+            return AttemptResult.of(AttemptResult.Kind.NOT_CONTINUED, checked.detail());
         }
-        return AttemptResult.of(AttemptResult.Kind.ANSWERED, "status " + status);
+        return checked;
     }
 
     @Override
