Record running streams in the store, for the end of all routers

Cause: the router that begins a stream and the two that it is reported to were the only ones to know its version.

Change: one of the two is now the recorder of the stream's partition, which writes the streams that began to a table of the store, in batches of at least 250 ms. The streams have 8 partitions, so that writes do not grow with routers or streams. A recorder that is asked for a stream that it does not know reads its partition first; the router that asks reads it itself if the recorder does not reply. A row is removed with a later write once its streams have ended. An origin never changes, so that a row that is late, written twice, or comes back from an older copy of the store is still true; a missing one makes a stream unknown, which is refused as before.

Ruled out: a row for each stream (writes grow with streams), a write by each router (with routers), keys with a random part (the generator of a router is seeded with its host's name, so that a new process would overwrite the rows of the last one; rows are named by their content).

StreamOriginsTest, all routers end after 10 s, then restart: 2,393 of 2,440 streams are found at 5 routers, 2,392 of 2,440 at 23, 34,201 of 35,000 at 340, with 32 writes a second (3.2, 3.2 and 35 KB), 2 messages a stream as before, and 8 reads.

--- /dev/null
+++ b/forkseam-core/src/main/java/org/forkseam/core/share/StreamKeepers.java
@@ -0,0 +1,69 @@
+package org.forkseam.core.share;
+
+import org.forkseam.core.route.Rendezvous;
+import org.forkseam.core.util.Hashes;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.ToLongFunction;
+
+/**
+ * Selects the routers that keep the origin of a stream.
+ *
+ * <p>Streams are divided into a fixed number of partitions. One router records the streams of a
+ * partition in the store, so that the number of writes does not grow with the number of routers.
+ * The other keepers are selected by the stream itself and share the load evenly. Stateless.
+ *
+ * @since 0.7
+ */
+public final class StreamKeepers {
+    /**
+     * Partitions of the streams. Each causes up to four writes a second, 32 in total: 8% of the 400
+     * that small fleets are allowed, 3% of the 1,200 of large ones.
+     */
+    public static final int PARTITIONS = 8;
+
+    private static final long SALT = Hashes.of("stream-recorder");
+
+    private StreamKeepers() {}
+
+    /** Returns the partition of a stream. */
+    public static int partitionOf(long stream) {
+        return (int) Long.remainderUnsigned(Hashes.mix(SALT, stream), PARTITIONS);
+    }
+
+    /**
+     * Returns the router that records the streams of a partition; empty if there are no routers.
+     *
+     * @param hash returns a router's hash
+     */
+    public static <T> Optional<T> recorder(
+            int partition, Collection<T> routers, ToLongFunction<T> hash) {
+        return Rendezvous.highest(Hashes.mix(SALT, partition), routers, hash, 1).stream()
+                .findFirst();
+    }
+
+    /**
+     * Returns the keepers of a stream among other routers: the recorder unless it is this router,
+     * and those with the highest scores.
+     *
+     * @param count maximum number of routers returned
+     */
+    public static <T> List<T> select(
+            long stream,
+            Collection<T> others,
+            Optional<T> recorder,
+            ToLongFunction<T> hash,
+            int count) {
+        List<T> keepers = new ArrayList<>();
+        recorder.filter(others::contains).ifPresent(keepers::add);
+        for (T router : Rendezvous.highest(stream, others, hash, count)) {
+            if (keepers.size() < count && !keepers.contains(router)) {
+                keepers.add(router);
+            }
+        }
+        return keepers;
+    }
+}
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
@@ -22,6 +22,7 @@
 import org.forkseam.direct.spi.FleetSource;
 import org.forkseam.direct.spi.SharedRow;
 import org.forkseam.direct.spi.SharedRows;
+import org.forkseam.direct.spi.StreamRecords;
 
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
@@ -82,12 +83,14 @@
      *
      * @param fleet configuration and targets
      * @param shared rows that routers share
+     * @param streams records of streams
      * @param peers addresses of other routers, IP:PORT, queried while the store is unavailable
      * @param calls supplies the number of calls to the store since the start, by kind
      */
     public record Sources(
             FleetSource fleet,
             SharedRows shared,
+            StreamRecords streams,
             List<String> peers,
             Supplier<Map<String, Long>> calls) {}
 
@@ -125,15 +128,9 @@
         SharedRows shared = new EraCheckedSharedRows(sources.shared(), mEra);
         mRowFollower = new RowFollower(context, shared, this::onRow);
         mShardTables = new ShardTables(context, shared, mRowFollower, mTargetFollower.targets());
-        mVersionRecords =
-                new VersionRecords(context, shared, mRowFollower, mTargetFollower.versions());
+        mVersionRecords = new VersionRecords(context, shared, mRowFollower, versions());
         mQuarantine = new Quarantine(context, shared, mRowFollower);
-        mStreamOrigins =
-                new StreamOrigins(
-                        ReadBarrier.of(loop)::schedule,
-                        clock,
-                        mPeerGroup,
-                        mTargetFollower.versions());
+        mStreamOrigins = StreamOrigins.of(context, versions(), sources.streams());
         mWarmPools = new WarmPools(context, shared, mRowFollower, mPlacementPolicy);
         mPlacements =
                 new PromptPlacements(
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerGroup.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerGroup.java
@@ -4,13 +4,14 @@
 
 import org.forkseam.core.admit.ColdStartShare;
 import org.forkseam.core.place.EngineGroups;
-import org.forkseam.core.route.Rendezvous;
+import org.forkseam.core.share.StreamKeepers;
 import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.io.Addresses;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +32,9 @@
     /** All known routers, including this one. */
     private List<Peer> mCandidates = List.of();
 
+    /** The router that records each partition of streams, computed when first needed. */
+    private final Map<Integer, Optional<Peer>> mRecorders = new HashMap<>();
+
     private long mMessagesSent;
 
     /** Another router and the hash of its host's name. */
@@ -85,6 +89,7 @@
         mPeerAddresses = mPeers.stream().map(Peer::address).toList();
         mCandidates = new ArrayList<>(mPeers);
         mCandidates.add(new Peer(Hashes.of(host()), address()));
+        mRecorders.clear();
     }
 
     /** Returns whether any router is registered, as far as this one knows. */
@@ -142,9 +147,10 @@
     }
 
     @Override
-    public int sendToKeepers(long key, int count, PeerMessage m) {
+    public int sendToKeepers(long stream, int count, PeerMessage m) {
         List<String> keepers =
-                Rendezvous.highest(key, mPeers, Peer::hostHash, count).stream()
+                StreamKeepers.select(stream, mPeers, recorder(stream), Peer::hostHash, count)
+                        .stream()
                         .map(Peer::address)
                         .toList();
         mMessagesSent += keepers.size();
@@ -152,6 +158,17 @@
         return keepers.size();
     }
 
+    @Override
+    public boolean isRecorder(long stream) {
+        return recorder(stream).map(p -> p.address().equals(address())).orElse(true);
+    }
+
+    private Optional<Peer> recorder(long stream) {
+        return mRecorders.computeIfAbsent(
+                StreamKeepers.partitionOf(stream),
+                p -> StreamKeepers.recorder(p, mCandidates, Peer::hostHash));
+    }
+
     @Override
     public Optional<InetSocketAddress> coordinator(String pool, int group) {
         return EngineGroups.coordinator(pool, group, mCandidates, Peer::hostHash)
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamOrigins.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamOrigins.java
@@ -5,6 +5,8 @@
 import org.forkseam.core.share.StreamOriginTable;
 import org.forkseam.core.util.Clock;
 import org.forkseam.core.util.Hashes;
+import org.forkseam.direct.io.ReadBarrier;
+import org.forkseam.direct.spi.StreamRecords;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -21,8 +23,9 @@
  *
  * <p>While a pool has had a single version for long enough, every router infers it and nothing is
  * sent. Otherwise the router that begins a stream reports it to a few others, selected by a hash of
- * the stream, and a router that does not know a stream asks these. The cost of a stream therefore
- * does not depend on the number of routers. Confined to the event loop.
+ * the stream, and a router that does not know a stream asks these. One of them records the stream
+ * in the store, for the case that all routers end. The cost of a stream therefore does not depend
+ * on the number of routers. Confined to the event loop.
  *
  * @since 0.7
  */
@@ -38,10 +41,14 @@
     /** Maximum wait for replies; a running router replies within a few milliseconds. */
     private static final long REPLY_TIMEOUT_MILLIS = 250;
 
+    /** Maximum wait for a read of the store after that; a caller can request the stream anew. */
+    private static final long READ_TIMEOUT_MILLIS = 400;
+
     private final Timer mTimer;
     private final Clock mClock;
     private final Network mNetwork;
     private final VersionHistory mVersions;
+    private final StreamRecorder mRecorder;
     private final StreamOriginTable mTable = StreamOriginTable.create();
     private final Map<Long, Query> mQueries = new HashMap<>();
     private long mReports;
@@ -50,10 +57,13 @@
     /** Sends messages to other routers. */
     interface Network {
         /**
-         * Sends a message to the routers that keep a key, selected among the others by rendezvous
-         * hashing; returns their number.
+         * Sends a message to other routers that keep a stream, first to the one that records it;
+         * returns their number.
          */
-        int sendToKeepers(long key, int count, PeerMessage m);
+        int sendToKeepers(long stream, int count, PeerMessage m);
+
+        /** Returns whether this router records a stream in the store. */
+        boolean isRecorder(long stream);
 
         /** Sends a message to the router at an address. */
         void sendTo(InetSocketAddress address, PeerMessage m);
@@ -73,6 +83,8 @@
         SOLE_VERSION,
         /** Another router knew it. */
         ROUTER,
+        /** The store has a record of it. */
+        RECORD,
         /** No router that was asked knows it. */
         NONE
     }
@@ -103,11 +115,24 @@
         }
     }
 
-    StreamOrigins(Timer timer, Clock clock, Network network, VersionHistory versions) {
+    StreamOrigins(
+            Timer timer,
+            Clock clock,
+            Network network,
+            VersionHistory versions,
+            StreamRecords records) {
         mTimer = timer;
         mClock = clock;
         mNetwork = network;
         mVersions = versions;
+        mRecorder = new StreamRecorder(timer, clock, records);
+    }
+
+    /** Creates a table of streams that begin at this router or are reported to it. */
+    static StreamOrigins of(
+            FollowerBase.Context context, VersionHistory versions, StreamRecords records) {
+        Timer timer = ReadBarrier.of(context.loop())::schedule;
+        return new StreamOrigins(timer, context.clock(), context.peers(), versions, records);
     }
 
     /** Returns the hash that identifies a stream. */
@@ -127,14 +152,24 @@
         return mVersions.soleVersion(pool, mClock.nowMillis()).isPresent();
     }
 
-    /** Reports a stream to the routers that will be asked for it; returns whether any is known. */
+    /**
+     * Reports a stream to the routers that will be asked for it, one of which records it; returns
+     * whether any is known.
+     */
     public boolean report(StreamOrigin origin) {
+        recordIfResponsible(origin);
         PeerMessage m = new PeerMessage.StreamOrigins(List.of(origin));
         int sent = mNetwork.sendToKeepers(origin.stream(), KEEPERS, m);
         mReports += sent;
         return sent > 0;
     }
 
+    private void recordIfResponsible(StreamOrigin origin) {
+        if (mNetwork.isRecorder(origin.stream())) {
+            mRecorder.add(origin);
+        }
+    }
+
     // ---------------------------------------------------------------- streams that are resumed
 
     /**
@@ -158,14 +193,34 @@
         mQuestions++;
         int asked =
                 mNetwork.sendToKeepers(stream, ASKED, new PeerMessage.StreamQuery(stream, pool));
-        if (asked == 0) {
-            listener.accept(Result.none());
-            return;
-        }
         Query q = new Query(asked);
         q.mListeners.add(listener);
         mQueries.put(stream, q);
-        mTimer.after(REPLY_TIMEOUT_MILLIS, () -> finish(stream, q, Result.none()));
+        if (mNetwork.isRecorder(stream)) {
+            q.mRepliesLeft++;
+            mRecorder.read(stream, () -> onReply(findRecorded(stream), Source.RECORD, q));
+        }
+        mTimer.after(REPLY_TIMEOUT_MILLIS, () -> onReplyMissing(stream, q));
+    }
+
+    /** Reads the records here, since the router that should have read them may have ended. */
+    private void onReplyMissing(long stream, Query q) {
+        if (mQueries.get(stream) != q) {
+            return;
+        }
+        mTimer.after(READ_TIMEOUT_MILLIS, () -> finish(stream, q, Result.none()));
+        mRecorder.read(stream, () -> finish(stream, q, resultOfRecord(stream)));
+    }
+
+    private StreamOrigin findRecorded(long stream) {
+        return mRecorder.find(stream).orElse(new StreamOrigin(stream, StreamOrigin.UNKNOWN));
+    }
+
+    private Result resultOfRecord(long stream) {
+        return mRecorder
+                .find(stream)
+                .map(o -> Result.of(o.software(), Source.RECORD))
+                .orElse(Result.none());
     }
 
     private Optional<Result> findHere(long stream, String pool) {
@@ -175,9 +230,10 @@
             return Optional.of(Result.of(known.get().software(), Source.KNOWN));
         }
         OptionalLong sole = mVersions.soleVersion(pool, now);
-        return sole.isPresent()
-                ? Optional.of(Result.of(sole.getAsLong(), Source.SOLE_VERSION))
-                : Optional.empty();
+        if (sole.isPresent()) {
+            return Optional.of(Result.of(sole.getAsLong(), Source.SOLE_VERSION));
+        }
+        return mRecorder.find(stream).map(o -> Result.of(o.software(), Source.RECORD));
     }
 
     private void finish(long stream, Query q, Result result) {
@@ -189,33 +245,43 @@
     // ---------------------------------------------------------------- other routers
 
     void onQuery(PeerMessage.StreamQuery query, InetSocketAddress sender) {
-        long software =
-                findHere(query.stream(), query.pool())
-                        .map(r -> r.software().orElse(StreamOrigin.UNKNOWN))
-                        .orElse(StreamOrigin.UNKNOWN);
-        mNetwork.sendTo(
-                sender,
-                new PeerMessage.StreamOrigins(List.of(new StreamOrigin(query.stream(), software))));
+        Optional<Result> known = findHere(query.stream(), query.pool());
+        if (known.isPresent() || !mNetwork.isRecorder(query.stream())) {
+            reply(query.stream(), known.orElse(Result.none()), sender);
+            return;
+        }
+        mRecorder.read(
+                query.stream(),
+                () -> reply(query.stream(), resultOfRecord(query.stream()), sender));
+    }
+
+    private void reply(long stream, Result result, InetSocketAddress sender) {
+        StreamOrigin o = new StreamOrigin(stream, result.software().orElse(StreamOrigin.UNKNOWN));
+        mNetwork.sendTo(sender, new PeerMessage.StreamOrigins(List.of(o)));
     }
 
     void onOrigins(PeerMessage.StreamOrigins m) {
         for (StreamOrigin o : m.origins()) {
             if (o.isKnown()) {
                 record(o);
+                recordIfResponsible(o);
             }
             Query q = mQueries.get(o.stream());
-            if (q == null) {
-                continue;
-            }
-            q.mRepliesLeft--;
-            if (o.isKnown()) {
-                finish(o.stream(), q, Result.of(o.software(), Source.ROUTER));
-            } else if (q.mRepliesLeft == 0) {
-                finish(o.stream(), q, Result.none());
+            if (q != null) {
+                onReply(o, Source.ROUTER, q);
             }
         }
     }
 
+    private void onReply(StreamOrigin o, Source source, Query q) {
+        q.mRepliesLeft--;
+        if (o.isKnown()) {
+            finish(o.stream(), q, Result.of(o.software(), source));
+        } else if (q.mRepliesLeft == 0) {
+            finish(o.stream(), q, Result.none());
+        }
+    }
+
     /** Returns counts for the state dump. */
     Map<String, Long> dump() {
         Map<String, Long> m = new LinkedHashMap<>();
@@ -223,6 +289,7 @@
         m.put("reported", mReports);
         m.put("asked", mQuestions);
         m.put("pending", (long) mQueries.size());
+        m.putAll(mRecorder.dump());
         return m;
     }
 }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/StreamOriginsTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/StreamOriginsTest.java
@@ -10,9 +10,11 @@
 import org.forkseam.core.member.Target;
 import org.forkseam.core.member.TargetEntry;
 import org.forkseam.core.member.VersionHistory;
-import org.forkseam.core.route.Rendezvous;
+import org.forkseam.core.share.StreamKeepers;
 import org.forkseam.core.share.StreamOrigin;
 import org.forkseam.core.util.Hashes;
+import org.forkseam.direct.spi.SourceException;
+import org.forkseam.direct.spi.StreamRecords;
 import org.junit.jupiter.api.Test;
 
 import java.net.InetSocketAddress;
@@ -21,9 +23,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import java.util.stream.IntStream;
 
 /**
@@ -35,6 +41,15 @@
     private static final long MAX_DELAY_MILLIS = 5;
     private static final long REPLY_TIMEOUT_MILLIS = 250;
 
+    /** Duration of a call to the store. */
+    private static final long STORE_MILLIS = 10;
+
+    /** Time for which streams begin before all routers end. */
+    private static final int SECONDS = 10;
+
+    /** Bound on the writes a second of all routers; small fleets are allowed 400 in all. */
+    private static final int MAX_WRITES_PER_SECOND = 32;
+
     /** A stream is reported to this many routers at most. */
     private static final int MAX_REPORTS = 2;
 
@@ -45,7 +60,9 @@
     private static final class Fleet {
         private final SplittableRandom mRandom;
         private final double mLossRate;
+        private final Records mRecords = new Records(this);
         private final List<Router> mRouters = new ArrayList<>();
+        private final Map<Integer, Optional<Router>> mRecorders = new HashMap<>();
         private final PriorityQueue<Event> mEvents = new PriorityQueue<>();
         private long mNow = 1_000_000;
         private long mSequence;
@@ -91,6 +108,73 @@
         Router router(int i) {
             return mRouters.get(i);
         }
+
+        Optional<Router> recorder(long stream) {
+            return mRecorders.computeIfAbsent(
+                    StreamKeepers.partitionOf(stream),
+                    p -> StreamKeepers.recorder(p, mRouters, Router::hash));
+        }
+    }
+
+    /** Records in the store; away unless a test connects it, and slow once connected. */
+    private static final class Records implements StreamRecords {
+        private final Fleet mFleet;
+        private final Map<Integer, Map<String, byte[]>> mParts = new HashMap<>();
+        private boolean mConnected;
+        private long mWrites;
+        private long mReads;
+        private long mBytes;
+
+        Records(Fleet fleet) {
+            mFleet = fleet;
+        }
+
+        private Map<String, byte[]> part(int partition) {
+            return mParts.computeIfAbsent(partition, p -> new TreeMap<>());
+        }
+
+        @Override
+        public CompletableFuture<Map<String, byte[]>> read(int partition) {
+            mReads++;
+            return respond(() -> Map.copyOf(part(partition)));
+        }
+
+        @Override
+        public CompletableFuture<Void> write(
+                int partition, String key, byte[] value, List<String> removed) {
+            mWrites++;
+            mBytes += value.length;
+            return respond(
+                    () -> {
+                        removed.forEach(part(partition)::remove);
+                        part(partition).put(key, value);
+                        return null;
+                    });
+        }
+
+        private <T> CompletableFuture<T> respond(Supplier<T> call) {
+            if (!mConnected) {
+                return CompletableFuture.failedFuture(SourceException.of("store away"));
+            }
+            CompletableFuture<T> result = new CompletableFuture<>();
+            mFleet.after(STORE_MILLIS, () -> result.complete(call.get()));
+            return result;
+        }
+
+        int rows() {
+            return mParts.values().stream().mapToInt(Map::size).sum();
+        }
+
+        Map<Integer, Map<String, byte[]>> copy() {
+            Map<Integer, Map<String, byte[]>> copy = new HashMap<>();
+            mParts.forEach((p, rows) -> copy.put(p, new TreeMap<>(rows)));
+            return copy;
+        }
+
+        void restore(Map<Integer, Map<String, byte[]>> copy) {
+            mParts.clear();
+            copy.forEach((p, rows) -> mParts.put(p, new TreeMap<>(rows)));
+        }
     }
 
     /** A task at a time. */
@@ -106,6 +190,7 @@
     private static final class Router implements StreamOrigins.Network {
         private final Fleet mFleet;
         private final int mIndex;
+        private final long mHash;
         private int mLife;
         private boolean mRunning = true;
         private VersionHistory mVersions;
@@ -114,6 +199,7 @@
         Router(Fleet fleet, int index) {
             mFleet = fleet;
             mIndex = index;
+            mHash = Hashes.of("host-" + index);
             restart();
         }
 
@@ -139,18 +225,29 @@
                                             }),
                             () -> mFleet.mNow,
                             this,
-                            mVersions);
+                            mVersions,
+                            mFleet.mRecords);
         }
 
         @Override
-        public int sendToKeepers(long key, int count, PeerMessage m) {
+        public int sendToKeepers(long stream, int count, PeerMessage m) {
             List<Router> others = mFleet.mRouters.stream().filter(r -> r.mIndex != mIndex).toList();
             List<Router> keepers =
-                    Rendezvous.highest(key, others, r -> Hashes.of("host-" + r.mIndex), count);
+                    StreamKeepers.select(
+                            stream, others, mFleet.recorder(stream), Router::hash, count);
             keepers.forEach(k -> mFleet.send(this, k, m));
             return keepers.size();
         }
 
+        @Override
+        public boolean isRecorder(long stream) {
+            return mFleet.recorder(stream).filter(r -> r == this).isPresent();
+        }
+
+        private long hash() {
+            return mHash;
+        }
+
         @Override
         public void sendTo(InetSocketAddress address, PeerMessage m) {
             mFleet.send(this, mFleet.router(address.getPort()), m);
@@ -298,6 +395,139 @@
                 .isAtMost(MAX_REPORTS * begun.size() + MAX_QUESTION_MESSAGES * resumed);
     }
 
+    /**
+     * Guards against a stream that goes on at another software after all routers have ended, with
+     * calls to the store that fail and with records that come back from an older copy of it.
+     */
+    @Property(tries = 40)
+    void noStreamIsFoundWithAnotherSoftwareInTheRecords(
+            @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        int n = List.of(1, 5, 23, 340).get(random.nextInt(4));
+        Fleet f = new Fleet(n, seed, 0.05);
+        f.mRecords.mConnected = true;
+        Map<Long, Long> begun = new HashMap<>();
+        Map<Integer, Map<String, byte[]>> older = f.mRecords.copy();
+        for (int i = 0; i < 400; i++) {
+            int action = random.nextInt(100);
+            Router r = f.router(random.nextInt(n));
+            if (action < 60) {
+                long stream = random.nextLong();
+                begun.put(stream, 1 + random.nextLong(3));
+                r.begin(stream, begun.get(stream));
+            } else if (action < 90 && !begun.isEmpty()) {
+                long stream =
+                        begun.keySet().stream()
+                                .skip(random.nextInt(begun.size()))
+                                .findFirst()
+                                .get();
+                r.mOrigins.find(stream, POOL, result -> checkSoftware(seed, begun, stream, result));
+            } else if (action < 93) {
+                f.mRouters.forEach(Router::restart);
+            } else if (action < 95) {
+                f.mRecords.mConnected = !f.mRecords.mConnected;
+            } else if (action < 97) {
+                older = f.mRecords.copy();
+            } else if (action < 98) {
+                f.mRecords.restore(older);
+            } else {
+                r.restart();
+            }
+            f.run(random.nextLong(100));
+        }
+        f.run(60_000);
+    }
+
+    private static void checkSoftware(
+            long seed, Map<Long, Long> begun, long stream, StreamOrigins.Result result) {
+        if (result.software().isPresent()) {
+            assertWithMessage("seed %s", seed)
+                    .that(result.software().getAsLong())
+                    .isEqualTo(begun.get(stream));
+        }
+    }
+
+    /**
+     * Guards against refusing every stream after all routers have ended at the same moment, and
+     * against writes whose number grows with routers or streams.
+     */
+    @Test
+    void mostStreamsAreFoundAfterAllRoutersEnd() {
+        for (int n : List.of(5, 23, 340)) {
+            Fleet f = new Fleet(n, n, 0);
+            f.mRecords.mConnected = true;
+            SplittableRandom random = new SplittableRandom(n);
+            int perSecond = n == 340 ? 3_500 : 244;
+            List<Long> streams = new ArrayList<>();
+            long start = f.mNow;
+            for (int i = 0; i < SECONDS * perSecond; i++) {
+                streams.add(random.nextLong());
+                f.router(random.nextInt(n)).begin(streams.get(i), 1 + i % 3);
+                f.run(start + i * 1_000L / perSecond - f.mNow);
+            }
+            long elapsed = f.mNow - start;
+            assertThat(f.mMessages).isAtMost((long) MAX_REPORTS * streams.size());
+            assertThat(f.mRecords.mWrites).isAtMost(MAX_WRITES_PER_SECOND * (elapsed / 1_000 + 1));
+            f.mRouters.forEach(Router::kill);
+            f.run(1_000);
+            f.mRouters.forEach(Router::restart);
+            long readsBefore = f.mRecords.mReads;
+            Set<Long> found = new HashSet<>();
+            for (long stream : streams) {
+                f.router(random.nextInt(n))
+                        .mOrigins
+                        .find(stream, POOL, r -> r.software().ifPresent(s -> found.add(stream)));
+            }
+            f.run(REPLY_TIMEOUT_MILLIS);
+            // All but those of the last interval.
+            assertThat(found.size()).isAtLeast(streams.size() * (SECONDS - 1) / SECONDS);
+            assertThat(f.mRecords.mReads - readsBefore).isAtMost(StreamKeepers.PARTITIONS);
+        }
+    }
+
+    /** Guards against records that stay in the store for ever, also those of ended routers. */
+    @Test
+    void recordsOfStreamsThatHaveEndedAreRemoved() {
+        Fleet f = new Fleet(5, 5, 0);
+        f.mRecords.mConnected = true;
+        SplittableRandom random = new SplittableRandom(5);
+        int most = 0;
+        for (int second = 0; second < 300; second++) {
+            for (int i = 0; i < 20; i++) {
+                f.router(random.nextInt(5)).begin(random.nextLong(), 1);
+                f.run(50);
+            }
+            if (second % 70 == 0) {
+                f.mRouters.forEach(Router::restart);
+            }
+            most = Math.max(most, f.mRecords.rows());
+        }
+        // Those of two retention times, since a router that starts does not know their age.
+        assertThat(most).isAtMost(2 * 40 * MAX_WRITES_PER_SECOND);
+        f.run(100_000);
+        f.router(0).begin(random.nextLong(), 1);
+        assertThat(f.mRecords.rows()).isAtMost(40 * MAX_WRITES_PER_SECOND);
+    }
+
+    /** Guards against a stream that is refused because the router that records it has ended. */
+    @Test
+    void recordsAreReadHereIfTheirRecorderDoesNotReply() {
+        Fleet f = new Fleet(5, 5, 0);
+        f.mRecords.mConnected = true;
+        long stream = 7;
+        Router recorder = f.recorder(stream).get();
+        Router asked = f.router(recorder.mIndex == 0 ? 1 : 0);
+        recorder.begin(stream, 70);
+        f.run(1_000);
+        f.mRouters.forEach(Router::kill);
+        asked.restart();
+        List<StreamOrigins.Result> results = new ArrayList<>();
+        asked.mOrigins.find(stream, POOL, results::add);
+        f.run(REPLY_TIMEOUT_MILLIS + STORE_MILLIS);
+        assertThat(results)
+                .containsExactly(StreamOrigins.Result.of(70, StreamOrigins.Source.RECORD));
+    }
+
     /** Guards against losing most streams when half of all routers end at the same moment. */
     @Test
     void mostStreamsAreFoundAfterHalfOfTheRoutersEnd() {
