Do not let a response without an id vouch for its target

A stream without a length counted as whole, although its target had ended: a late error without an id, on another connection of the target, counted as the response to the health check.

Cause: LivenessCheck took every response that names no request for its own.

Ways weighed: an id for health checks is not part of the protocol, and a target may refuse or run it as a request; only responses that name the target would count a full target, which refuses the check, as unknown.

Change: a response that names neither a request nor a target counts only if no earlier request was sent on its connection.

Before: 5 of 6 cases of lateResponseWithoutIdDoesNotVouchForItsTarget and lateResponseWithoutIdDoesNotSpeakAgainstItsTarget failed. After: 0 of 6; 184 of 184 cases of ResponseAcceptanceTest, StreamContinuationTest, SharedStoreReadTest, CrashedTargetsTest and HttpConnectionTest pass.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/LivenessCheck.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/LivenessCheck.java
@@ -102,6 +102,7 @@
         private final ByteBuf mBody = Unpooled.buffer(0);
         private HttpConnection mConnection;
         private boolean mOther;
+        private boolean mNeedsNewConnection;
         private boolean mDone;
 
         Check(Target target) {
@@ -118,7 +119,7 @@
                 return;
             }
             mPending.remove(mTarget.incarnation(), this);
-            if (healthPath(mTarget).isEmpty()) {
+            if (mNeedsNewConnection || healthPath(mTarget).isEmpty()) {
                 pool().openReplacement(this);
             } else {
                 pool().acquire(MAX_IDLE_MILLIS, this);
@@ -143,10 +144,26 @@
             mContext.readBarrier().schedule(RESPONSE_MILLIS, () -> replace(c));
         }
 
-        /** Returns whether a response is not a late one to an earlier request on the connection. */
+        /**
+         * Returns whether a response is not a late one to an earlier request on the connection. One
+         * that names neither a request nor a target shows that only on a new connection, where the
+         * check is then repeated.
+         */
         private boolean isOwnResponse(HttpResponse head) {
             ResponseHead h = mContext.headerCodec().decode(head);
-            return h.requestIds().isEmpty() || h.targetId().isPresent();
+            if (h.targetId().isPresent()) {
+                return true;
+            }
+            if (!h.requestIds().isEmpty()) {
+                return false;
+            }
+            if (mConnection.isFirstExchange()) {
+                return true;
+            }
+            HttpConnection c = mConnection;
+            mNeedsNewConnection = true;
+            mContext.readBarrier().schedule(RETRY_MILLIS, () -> replace(c));
+            return false;
         }
 
         /** Sends the health check on another connection unless this one has brought a response. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
@@ -89,6 +89,11 @@
         return mRequestIds.contains(requestId);
     }
 
+    /** Returns whether no response to an earlier request can arrive. */
+    public boolean isFirstExchange() {
+        return mExchanges == 1;
+    }
+
     /** Aborts the exchange and closes the connection without calling the listener. */
     public void abort() {
         mListener = null;
--- a/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * A target that sends scripted bytes, including malformed responses that no library would produce.
@@ -98,6 +99,7 @@
     private volatile long mStartMillis;
     private volatile String mBeforeHealth = "";
     private volatile String mAfterHealth = "";
+    private final AtomicReference<String> mBeforeNextHealth = new AtomicReference<>("");
     private volatile boolean mFrozen;
 
     private ScriptedServer(Script script) throws IOException {
@@ -150,6 +152,11 @@
         mAfterHealth = text;
     }
 
+    /** Sets what is sent before the response to the next health check only. */
+    public void setBeforeNextHealth(String text) {
+        mBeforeNextHealth.set(text);
+    }
+
     /** Accepts connections from now on without reading from them. */
     public void freeze() {
         mFrozen = true;
@@ -183,8 +190,9 @@
                 }
                 Request r = read(s.getInputStream());
                 if (r.head().startsWith("GET " + HEALTH_PATH + " ")) {
-                    connection.send(
-                            mBeforeHealth + health(r.header("Expect-Instance")) + mAfterHealth);
+                    String surplus = mBeforeHealth + mBeforeNextHealth.getAndSet("");
+                    String own = health(r.header("Expect-Instance"));
+                    connection.send(surplus + own + mAfterHealth);
                     continue;
                 }
                 mReceived.add(r);
