Bound the memory of request bodies over all callers

Callers got no answer, and readiness failed, for 5 to 12 s when 29 callers sent bodies of 4 MB at the same time; 40 of 40 other callers passed their timeout.

Cause: parts of a body kept the whole buffers into which the sockets were read, with no bound over all callers, so that direct memory ran out and each further allocation waited on the event loop.

Ruled out: a bound alone. Forwarding bodies as they arrive: they could not be sent again, nor be fingerprinted for the quarantine.

Change: bodies of 64 KB or more reserve memory when their head arrives (0.375 of the heap), are copied once, and wait unread otherwise. After 2 s they are refused as not run, and the connection stays.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerConnection.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -20,9 +21,11 @@
 
 import org.forkseam.core.traffic.CallerLimits;
 import org.forkseam.direct.io.ChunkEncoder;
+import org.forkseam.direct.log.Event;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 
 /**
  * A connection from a caller: reads complete requests one after another and writes their responses.
@@ -34,10 +37,16 @@
     /** Maximum number of pipelined requests; reading pauses when it is reached. */
     private static final int MAX_QUEUED = 16;
 
+    /** Bodies take seconds to arrive; another router may have room at once. */
+    private static final long BODY_RETRY_AFTER_MILLIS = 500;
+
     private final RouterContext mContext;
-    private final Deque<CallerRequest> mQueue = new ArrayDeque<>();
+    private final Deque<Queued> mQueue = new ArrayDeque<>();
     private ChannelHandlerContext mChannel;
     private ChannelHandlerContext mCodec;
+    private BodyReader mBodyReader;
+    private Optional<RequestBodies.Reservation> mBody = Optional.empty();
+    private boolean mBodyWaits;
     private RequestFlow mFlow;
     private boolean mKeepAlive = true;
     private boolean mClosing;
@@ -46,6 +55,9 @@
     private long mRequestStartedAt;
     private Arrival mArrival;
 
+    /** A request that waits for those before it, and the memory of its body. */
+    private record Queued(CallerRequest request, Optional<RequestBodies.Reservation> body) {}
+
     /**
      * Creates a connection.
      *
@@ -63,6 +75,7 @@
     public void handlerAdded(ChannelHandlerContext ctx) {
         mChannel = ctx;
         mCodec = ctx.pipeline().context(HttpServerCodec.class);
+        mBodyReader = ctx.pipeline().get(BodyReader.class);
         mContext.connections().add(this);
     }
 
@@ -101,18 +114,67 @@
                         r.method(),
                         r.uri(),
                         r.headers().copy(),
-                        ByteBufUtil.getBytes(r.content()),
+                        bytes(r.content()),
                         mContext.headerCodec().decode(r),
                         mArrival == null ? mContext.arrivalTracker().next() : mArrival);
         mRequestStartedAt = 0;
         mArrival = null;
-        mQueue.add(request);
-        if (mQueue.size() >= MAX_QUEUED) {
-            mChannel.channel().config().setAutoRead(false);
-        }
+        mQueue.add(new Queued(request, mBodyReader.takeReservation()));
+        updateAutoRead();
         startNext();
     }
 
+    /** Returns the bytes of a body, without another copy of a large one. */
+    private static byte[] bytes(ByteBuf body) {
+        boolean whole =
+                body.hasArray()
+                        && body.arrayOffset() == 0
+                        && body.readerIndex() == 0
+                        && body.array().length == body.readableBytes();
+        return whole ? body.array() : ByteBufUtil.getBytes(body);
+    }
+
+    /** Pauses reading while a body waits for memory; that time is not the caller's. */
+    void setBodyWaits(boolean waits) {
+        if (mBodyWaits && !waits && mRequestStartedAt != 0) {
+            mRequestStartedAt = mContext.now();
+        }
+        mBodyWaits = waits;
+        updateAutoRead();
+    }
+
+    private void updateAutoRead() {
+        mChannel.channel().config().setAutoRead(!mBodyWaits && mQueue.size() < MAX_QUEUED);
+    }
+
+    /**
+     * Refuses a request whose body is not read. Returns false if responses to earlier requests are
+     * due.
+     */
+    boolean refuseUnread(HttpRequest head) {
+        if (mFlow != null || !mQueue.isEmpty() || mClosing) {
+            return false;
+        }
+        String id = mContext.headerCodec().decode(head).requestId().orElse("");
+        Event.of("body_refused")
+                .with("request", id)
+                .with("held_bytes", mContext.requestBodies().totalBytes())
+                .log();
+        mKeepAlive = true; // the rest of the body would reset a connection that is closed
+        mBodiless = false;
+        respond(
+                mContext.responses()
+                        .unavailable(id, "not run: no memory for body", BODY_RETRY_AFTER_MILLIS));
+        return true;
+    }
+
+    /** Called when the rest of a body that was refused has arrived. */
+    void onUnreadEnd() {
+        mRequestStartedAt = 0;
+        mArrival = null;
+        mLastUse = mContext.now();
+    }
+
     /**
      * Starts the next request once the previous response is mostly accepted, so that callers that
      * do not read their responses do not fill the router's memory.
@@ -121,11 +183,13 @@
         if (mFlow != null || mClosing || !isWritable()) {
             return;
         }
-        CallerRequest request = mQueue.poll();
-        if (request == null) {
+        Queued next = mQueue.poll();
+        if (next == null) {
             return;
         }
-        mChannel.channel().config().setAutoRead(true);
+        updateAutoRead();
+        CallerRequest request = next.request();
+        mBody = next.body();
         mKeepAlive = keepsAlive(request);
         mBodiless = request.method().equals(HttpMethod.HEAD);
         mFlow = new RequestFlow(mContext, request, this);
@@ -187,6 +251,7 @@
 
     private void finishResponse(io.netty.channel.ChannelFuture written, boolean close) {
         mFlow = null;
+        releaseBody();
         mLastUse = mContext.now();
         if (close) {
             mClosing = true;
@@ -196,6 +261,11 @@
         startNext();
     }
 
+    private void releaseBody() {
+        mBody.ifPresent(RequestBodies.Reservation::release);
+        mBody = Optional.empty();
+    }
+
     @Override
     public void abort() {
         mFlow = null;
@@ -227,8 +297,11 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         mContext.connections().remove(this);
-        mQueue.clear();
         mClosing = true;
+        releaseBody();
+        mBodyReader.release();
+        mQueue.forEach(q -> q.body().ifPresent(RequestBodies.Reservation::release));
+        mQueue.clear();
         if (mFlow != null) {
             RequestFlow flow = mFlow;
             mFlow = null;
@@ -247,7 +320,9 @@
             return false;
         }
         boolean slowHead =
-                mRequestStartedAt != 0 && now - mRequestStartedAt > limits.headerMillis();
+                !mBodyWaits
+                        && mRequestStartedAt != 0
+                        && now - mRequestStartedAt > limits.headerMillis();
         boolean idle = mRequestStartedAt == 0 && now - mLastUse > limits.idleMillis();
         return slowHead || idle;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerServer.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerServer.java
@@ -54,6 +54,7 @@
                             }
                         })
                 .addLast(new HttpServerCodec(config))
+                .addLast(new BodyReader(mContext, connection, limits.bodyBytes()))
                 .addLast(new HttpObjectAggregator(limits.bodyBytes()))
                 .addLast(connection);
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -34,6 +34,7 @@
     private final CrashDetector mCrashDetector;
     private final LivenessCheck mLivenessCheck;
     private final BufferedResponses mBufferedResponses = BufferedResponses.forHeap();
+    private final RequestBodies mRequestBodies = RequestBodies.forHeap();
     private final RetryBudgets mRetryBudgets;
     private final ResponseFactory mResponses;
     private final RequestMeters mMeters;
@@ -196,6 +197,11 @@
         return mAdmissions;
     }
 
+    /** Returns the bound on request bodies. */
+    RequestBodies requestBodies() {
+        return mRequestBodies;
+    }
+
     BufferedResponses bufferedResponses() {
         return mBufferedResponses;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -232,6 +232,7 @@
         m.put("loop_late_ms", mContext.loopLag().lagMillis());
         m.put("callers", mContext.connections().size());
         m.put("unsent_bytes", unsentBytes());
+        m.put("request_body_bytes", mContext.requestBodies().totalBytes());
         m.put("buffered_bytes", mContext.bufferedResponses().totalBytes());
         m.put("target_connections", mContext.targetConnections().openCount());
         m.put("target_connections_opened", mContext.targetConnections().openedCount());
