Count the end of a target whose port is served again as a crash

Requests that end their targets ran at more targets than the quarantine allows, when a target started again at once under its port.

Cause: the crash detector opens one connection, and took an open port for a target that has not ended, also where a health check had just found that it had (another id, a rejection for another target, another start time).

Ruled out: a health check for each broken connection. Checks are priced, and most broken connections are of targets that live.

Change: the result of a check that was due anyway is remembered for a second, and counts like a refused connection. A response with a length or chunks that breaks off has no check; that remains open.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CrashDetector.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CrashDetector.java
@@ -15,14 +15,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Detects target crashes and reports the requests that were running to the quarantine. Used on the
  * event loop.
  *
  * <p>When a target closes a connection during a request, one new connection is opened to it. If the
- * connection is refused, the target has crashed; otherwise the new connection replaces the broken
- * one.
+ * connection is refused, or a health check has found that the target ended, it has crashed;
+ * otherwise the new connection replaces the broken one. A target that starts again at once under
+ * its port is only known by a health check, which is not sent for this alone.
  */
 final class CrashDetector {
     /**
@@ -33,10 +35,18 @@
 
     private final TargetConnections mTargetConnections;
     private final Quarantine mQuarantine;
+    private final Predicate<TargetIncarnation> mEnded;
     private final Map<TargetIncarnation, Probe> mProbes = new HashMap<>();
     private long mCrashCount;
 
-    CrashDetector(TargetConnections targets, Quarantine quarantine) {
+    /**
+     * Creates a detector.
+     *
+     * @param ended whether a target is known to have ended, also if its port is open
+     */
+    CrashDetector(
+            TargetConnections targets, Quarantine quarantine, Predicate<TargetIncarnation> ended) {
+        mEnded = ended;
         mTargetConnections = targets;
         mQuarantine = quarantine;
     }
@@ -101,6 +111,9 @@
         @Override
         public void onConnection(HttpConnection c) {
             c.release();
+            if (mEnded.test(mTarget.incarnation())) {
+                onCrash();
+            }
             finish();
         }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/LivenessCheck.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/LivenessCheck.java
@@ -54,6 +54,12 @@
 
     private static final int MAX_BODY_BYTES = 16 << 10;
 
+    /**
+     * Time for which the end of a target is remembered: its connections break at about the same
+     * time, and one that starts again may have the same id.
+     */
+    private static final long REMEMBER_ENDED_MILLIS = 1_000;
+
     /** Result of a check. The names are used as metric tag values. */
     enum Result {
         /** The target has responded after the close. */
@@ -66,6 +72,7 @@
 
     private final RouterContext mContext;
     private final Map<TargetIncarnation, Check> mPending = new HashMap<>();
+    private final Map<TargetIncarnation, Long> mEndedAt = new HashMap<>();
 
     LivenessCheck(RouterContext context) {
         mContext = context;
@@ -87,6 +94,17 @@
         pending.mListeners.add(listener);
     }
 
+    /** Returns whether a check has just found that a target ended, whoever uses its port now. */
+    boolean hasEnded(TargetIncarnation t) {
+        forgetEnded();
+        return mEndedAt.containsKey(t);
+    }
+
+    private void forgetEnded() {
+        long since = mContext.now() - REMEMBER_ENDED_MILLIS;
+        mEndedAt.values().removeIf(at -> at < since);
+    }
+
     private String healthPath(Target t) {
         return mContext.fleetState()
                 .config()
@@ -225,6 +243,10 @@
             }
             mDone = true;
             mPending.remove(mTarget.incarnation(), this);
+            if (result == Result.ENDED) {
+                forgetEnded();
+                mEndedAt.put(mTarget.incarnation(), mContext.now());
+            }
             mContext.meters().onLivenessCheck(result.name().toLowerCase(Locale.ROOT));
             mListeners.forEach(l -> l.accept(result));
         }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -95,7 +95,6 @@
         mTargetConnections = p.targetConnections();
         mSelectors = p.selectors();
         mColdStartLimiter = p.coldStartLimiter();
-        mCrashDetector = new CrashDetector(p.targetConnections(), p.fleetState().quarantine());
         mRetryBudgets = p.retryBudgets();
         mResponses = p.responses();
         mMeters = p.meters();
@@ -105,6 +104,11 @@
         mLoopLag = new EventLoopLag(ArrivalTracker.ITERATION_MILLIS, mClock.nowMillis());
         mReadBarrier = p.readBarrier();
         mLivenessCheck = new LivenessCheck(this);
+        mCrashDetector =
+                new CrashDetector(
+                        p.targetConnections(),
+                        p.fleetState().quarantine(),
+                        mLivenessCheck::hasEnded);
         mAdmissions = new PoolAdmissions(mClock, p.random(), mReadBarrier, mMeters);
     }
 
