--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -34,6 +34,7 @@
     private final CrashDetector mCrashDetector;
     private final LivenessCheck mLivenessCheck;
     private final BufferedResponses mBufferedResponses = BufferedResponses.forHeap();
+    private final RequestBodies mRequestBodies = RequestBodies.forHeap();
     private final RetryBudgets mRetryBudgets;
     private final ResponseFactory mResponses;
     private final RequestMeters mMeters;
@@ -94,7 +95,6 @@
         mTargetConnections = p.targetConnections();
         mSelectors = p.selectors();
         mColdStartLimiter = p.coldStartLimiter();
-        mCrashDetector = new CrashDetector(p.targetConnections(), p.fleetState().quarantine());
         mRetryBudgets = p.retryBudgets();
         mResponses = p.responses();
         mMeters = p.meters();
@@ -104,6 +104,11 @@
         mLoopLag = new EventLoopLag(ArrivalTracker.ITERATION_MILLIS, mClock.nowMillis());
         mReadBarrier = p.readBarrier();
         mLivenessCheck = new LivenessCheck(this);
+        mCrashDetector =
+                new CrashDetector(
+                        p.targetConnections(),
+                        p.fleetState().quarantine(),
+                        mLivenessCheck::hasEnded);
         mAdmissions = new PoolAdmissions(mClock, p.random(), mReadBarrier, mMeters);
     }
 
@@ -196,6 +201,11 @@
         return mAdmissions;
     }
 
+    /** Returns the bound on request bodies. */
+    RequestBodies requestBodies() {
+        return mRequestBodies;
+    }
+
     BufferedResponses bufferedResponses() {
         return mBufferedResponses;
     }
