--- a/forkseam-direct/src/test/java/org/forkseam/direct/io/ResponseBoundaryMatrixTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/io/ResponseBoundaryMatrixTest.java
@@ -333,6 +333,7 @@
                 EmbeddedExchange e = new EmbeddedExchange();
                 e.send(HttpMethod.valueOf(method));
                 e.receive(whole.substring(0, cut), segments);
+                assertWithMessage("byte %s", cut).that(e.lastEnd()).isEmpty();
                 e.closeByServer();
                 assertWithMessage("byte %s", cut).that(e.lastEnd()).isEqualTo("CLOSED");
             }
