Write records of streams more often in small fleets

Callers were refused because their streams were not on record yet when all routers ended.

Change: fleets of fewer than 64 routers have 2 partitions instead of 8. The writes of all recorders stay at 32 a second, so that each partition is written every 63 ms instead of every 250 ms. Large fleets keep 8, as a recorder would otherwise receive 1,750 reports a second.

--- a/forkseam-core/src/main/java/org/forkseam/core/share/StreamKeepers.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/share/StreamKeepers.java
@@ -12,26 +12,50 @@
 /**
  * Selects the routers that keep the origin of a stream.
  *
- * <p>Streams are divided into a fixed number of partitions. One router records the streams of a
- * partition in the store, so that the number of writes does not grow with the number of routers.
- * The other keepers are selected by the stream itself and share the load evenly. Stateless.
+ * <p>Streams are divided into partitions. One router records the streams of a partition in the
+ * store, so that the number of writes does not grow with the number of routers. The other keepers
+ * are selected by the stream itself and share the load evenly. Stateless.
  *
  * @since 0.7
  */
 public final class StreamKeepers {
     /**
-     * Partitions of the streams. Each causes up to four writes a second, 32 in total: 8% of the 400
-     * that small fleets are allowed, 3% of the 1,200 of large ones.
+     * Writes a second of all recorders: 8% of the 400 calls that small fleets are allowed, 3% of
+     * the 1,200 of large ones.
      */
-    public static final int PARTITIONS = 8;
+    private static final int WRITES_PER_SECOND = 32;
+
+    /** With few partitions each is written more often, so that fewer streams are lost. */
+    private static final int FEW_PARTITIONS = 2;
+
+    /** With more partitions a recorder receives a smaller share of the reports. */
+    private static final int MANY_PARTITIONS = 8;
+
+    /** Number of routers from which there are many partitions. */
+    private static final int LARGE_FLEET = 64;
+
+    private static final long MILLIS_PER_SECOND = 1_000;
 
     private static final long SALT = Hashes.of("stream-recorder");
 
     private StreamKeepers() {}
 
+    /**
+     * Returns the number of partitions. Routers that disagree on it while many start or end do not
+     * find each other's records.
+     */
+    public static int partitions(int routers) {
+        return routers < LARGE_FLEET ? FEW_PARTITIONS : MANY_PARTITIONS;
+    }
+
+    /** Returns the minimum interval of the writes of a partition. */
+    public static long intervalMillis(int partitions) {
+        return (MILLIS_PER_SECOND * partitions + WRITES_PER_SECOND - 1) / WRITES_PER_SECOND;
+    }
+
     /** Returns the partition of a stream. */
-    public static int partitionOf(long stream) {
-        return (int) Long.remainderUnsigned(Hashes.mix(SALT, stream), PARTITIONS);
+    public static int partitionOf(long stream, int partitions) {
+        return (int) Long.remainderUnsigned(Hashes.mix(SALT, stream), partitions);
     }
 
     /**
--- a/forkseam-core/src/main/java/org/forkseam/core/share/StreamOriginJournal.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/share/StreamOriginJournal.java
@@ -24,9 +24,6 @@
  * @since 0.7
  */
 public final class StreamOriginJournal {
-    /** Minimum interval of the writes of a partition. */
-    public static final long INTERVAL_MILLIS = 250;
-
     /** Streams that begin within this time of each other share a batch. */
     static final long COLLECT_MILLIS = 20;
 
@@ -90,15 +87,19 @@
                 : OptionalLong.of(Math.max(COLLECT_MILLIS, mNextWriteAt - nowMillis));
     }
 
-    /** Returns the next batch if one is due; its result must be reported. */
-    public Optional<Batch> next(long nowMillis) {
+    /**
+     * Returns the next batch if one is due; its result must be reported.
+     *
+     * @param intervalMillis time until the batch after it
+     */
+    public Optional<Batch> next(long intervalMillis, long nowMillis) {
         long oldest = nowMillis - VersionHistory.STREAM_LIFETIME_MILLIS;
         mPending.values().removeIf(at -> at < oldest);
         if (mWriting || mPending.isEmpty() || nowMillis < mNextWriteAt) {
             return Optional.empty();
         }
         mWriting = true;
-        mNextWriteAt = nowMillis + INTERVAL_MILLIS;
+        mNextWriteAt = nowMillis + intervalMillis;
         List<StreamOrigin> origins = mPending.keySet().stream().limit(MAX_BATCH).toList();
         byte[] value = StreamOriginCodec.encode(origins);
         String key = Hashes.toHex(Hashes.of(value));
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerGroup.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerGroup.java
@@ -158,6 +158,11 @@
         return keepers.size();
     }
 
+    @Override
+    public int partitions() {
+        return StreamKeepers.partitions(routerCount());
+    }
+
     @Override
     public boolean isRecorder(long stream) {
         return recorder(stream).map(p -> p.address().equals(address())).orElse(true);
@@ -165,7 +170,7 @@
 
     private Optional<Peer> recorder(long stream) {
         return mRecorders.computeIfAbsent(
-                StreamKeepers.partitionOf(stream),
+                StreamKeepers.partitionOf(stream, partitions()),
                 p -> StreamKeepers.recorder(p, mCandidates, Peer::hostHash));
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamOrigins.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamOrigins.java
@@ -62,6 +62,9 @@
          */
         int sendToKeepers(long stream, int count, PeerMessage m);
 
+        /** Returns the number of partitions of the streams. */
+        int partitions();
+
         /** Returns whether this router records a stream in the store. */
         boolean isRecorder(long stream);
 
@@ -125,7 +128,7 @@
         mClock = clock;
         mNetwork = network;
         mVersions = versions;
-        mRecorder = new StreamRecorder(timer, clock, records);
+        mRecorder = new StreamRecorder(timer, clock, records, network::partitions);
     }
 
     /** Creates a table of streams that begin at this router or are reported to it. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamRecorder.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamRecorder.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.IntSupplier;
 
 /**
  * Records in the store which software began streams, and reads these records after the routers that
@@ -32,6 +33,7 @@
     private final StreamOrigins.Timer mTimer;
     private final Clock mClock;
     private final StreamRecords mRecords;
+    private final IntSupplier mPartitionCount;
     private final Map<Integer, Partition> mPartitions = new HashMap<>();
     private long mWrites;
     private long mBytes;
@@ -52,14 +54,22 @@
         }
     }
 
-    StreamRecorder(StreamOrigins.Timer timer, Clock clock, StreamRecords records) {
+    /**
+     * Creates a recorder.
+     *
+     * @param partitions supplies the number of partitions
+     */
+    StreamRecorder(
+            StreamOrigins.Timer timer, Clock clock, StreamRecords records, IntSupplier partitions) {
         mTimer = timer;
         mClock = clock;
         mRecords = records;
+        mPartitionCount = partitions;
     }
 
     private Partition partition(long stream) {
-        return mPartitions.computeIfAbsent(StreamKeepers.partitionOf(stream), Partition::new);
+        int index = StreamKeepers.partitionOf(stream, mPartitionCount.getAsInt());
+        return mPartitions.computeIfAbsent(index, Partition::new);
     }
 
     // ---------------------------------------------------------------- writing
@@ -84,7 +94,8 @@
 
     private void write(Partition p) {
         p.mWriteScheduled = false;
-        Optional<StreamOriginJournal.Batch> next = p.mJournal.next(mClock.nowMillis());
+        long interval = StreamKeepers.intervalMillis(mPartitionCount.getAsInt());
+        Optional<StreamOriginJournal.Batch> next = p.mJournal.next(interval, mClock.nowMillis());
         if (next.isEmpty()) {
             scheduleWrite(p);
             return;
