Judge what is late by the time in which its threads had a processor

Cause: threads of the soak and of the routers that could run waited for a processor for seconds, one by one; SoakClock only sees when none runs. The scheduler's statistics show 2.4 s in one sample for the thread that accepts for a target, 1.7 s for one of a link. In 27 thread dumps of one play, 119 samples of link threads stood in Thread.start, which returns once the new thread has had a processor; all further connections of that target wait behind it. A request arrived 26 s after its caller had left; its router had logged caller_gone 13 ms after it had come. LOST: the router's loop was 4,332 ms late and logged caller_gone in the millisecond in which it ran again; the caller had waited for 6 s.

Change: threads of callers, links and targets record what the kernel measured as their wait on the run queue, by which a sleep took too long, for how long the start of a thread took, and the pauses of the JVM; the loop of each router process is measured from outside. A time limit holds for the time without the union of these spans on the way of this very request: caller and router for LATE and LOST, the connections to its targets besides for CUT at the timeout, GONE and 504s after recovery, the health checks of a target for the end of a stream without a length. A thread that waits for a lock or for bytes counts as running, a router that blocks its loop as well. No bound changed; on a machine with free processors nothing is excused. The clock and the links take no lock any more in each call, as its holder may be the one that has no processor.

Ruled out: a router that sends on behalf of a caller that has left: the lines of the 13 requests of GONE end with caller_gone (12) or answered at another target (1).

Locks of the JVM that all threads share are not seen; what they cause stays a finding.

--- a/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 
 /**
  * A target that sends scripted bytes, including malformed responses that no library would produce.
@@ -64,6 +66,11 @@
             out.flush();
         }
 
+        /** Returns the port of the peer. */
+        public int peerPort() {
+            return mSocket.getPort();
+        }
+
         /** Limits how many bytes the kernel holds for the peer. */
         public void setSendBufferSize(int bytes) throws IOException {
             mSocket.setSendBufferSize(bytes);
@@ -101,6 +108,9 @@
     private volatile String mAfterHealth = "";
     private final AtomicReference<String> mBeforeNextHealth = new AtomicReference<>("");
     private volatile boolean mFrozen;
+    private volatile Consumer<Runnable> mStarter = ScriptedServer::startThread;
+    private volatile IntConsumer mOnAccept = peerPort -> {};
+    private volatile IntConsumer mOnHealthCheck = peerPort -> {};
 
     private ScriptedServer(Script script) throws IOException {
         mScript = script;
@@ -157,6 +167,21 @@
         mBeforeNextHealth.set(text);
     }
 
+    /** Sets what starts the threads of connections. */
+    public void setStarter(Consumer<Runnable> starter) {
+        mStarter = starter;
+    }
+
+    /** Sets what is called with the port of the peer, on the thread that accepts connections. */
+    public void setOnAccept(IntConsumer onAccept) {
+        mOnAccept = onAccept;
+    }
+
+    /** Sets what is called with the port of the peer before the response to a health check. */
+    public void setOnHealthCheck(IntConsumer onHealthCheck) {
+        mOnHealthCheck = onHealthCheck;
+    }
+
     /** Accepts connections from now on without reading from them. */
     public void freeze() {
         mFrozen = true;
@@ -172,15 +197,20 @@
             try {
                 Socket s = mListener.accept();
                 mOpen.add(s);
-                Thread t = new Thread(() -> serve(s), "scripted-connection");
-                t.setDaemon(true);
-                t.start();
+                mOnAccept.accept(s.getPort());
+                mStarter.accept(() -> serve(s));
             } catch (IOException e) {
                 return; // closed by the test
             }
         }
     }
 
+    private static void startThread(Runnable task) {
+        Thread t = new Thread(task, "scripted-connection");
+        t.setDaemon(true);
+        t.start();
+    }
+
     private void serve(Socket s) {
         try (s) {
             Connection connection = new Connection(s);
@@ -190,6 +220,7 @@
                 }
                 Request r = read(s.getInputStream());
                 if (r.head().startsWith("GET " + HEALTH_PATH + " ")) {
+                    mOnHealthCheck.accept(s.getPort());
                     String surplus = mBeforeHealth + mBeforeNextHealth.getAndSet("");
                     String own = health(r.header("Expect-Instance"));
                     connection.send(surplus + own + mAfterHealth);
