Iterate the request queue by index, since preparing a request may add one

Cause: removeDone and dispatchFirst iterated mEntries while prepare() refused a request. The refusal starts the caller's next pipelined request, which adds an entry: ConcurrentModificationException. Thrown from RouterService#tick, it ends the periodic task without a log line.

Ruled out: a copy of the list, which would leave a row of refused requests to later ticks, one for each. Nothing else removes entries meanwhile: enqueue only schedules a task.

Change: both loops go by index; entries are only added at the end, and are looked at in the same pass.

Before: three new cases of RequestQueueTest fail with ConcurrentModificationException (3 of 9). After: 9 of 9 pass.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestQueue.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestQueue.java
@@ -3,7 +3,6 @@
 import org.forkseam.core.util.Clock;
 
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
 
 /**
@@ -146,13 +145,18 @@
         processEntries();
     }
 
-    /** Removes finished requests. */
+    /**
+     * Removes finished requests. A request that finishes when it is prepared may add the next
+     * request of its caller at the end, hence no iterator.
+     */
     private void removeDone() {
-        Iterator<Entry> i = mEntries.iterator();
-        while (i.hasNext()) {
-            QueuedRequest r = i.next().request();
-            if (r.isDone() || r.prepare() == Readiness.DONE) {
-                i.remove();
+        int i = 0;
+        while (i < mEntries.size()) {
+            Entry e = mEntries.get(i);
+            if (e.request().isDone() || e.request().prepare() == Readiness.DONE) {
+                mEntries.remove(i);
+            } else {
+                i++;
             }
         }
     }
@@ -170,7 +174,8 @@
     /** Dispatches the earliest request that is ready, if any. */
     private boolean dispatchFirst() {
         Entry first = null;
-        for (Entry e : mEntries) {
+        for (int i = 0; i < mEntries.size(); i++) { // preparing a request may add another
+            Entry e = mEntries.get(i);
             if (mayDispatch(e) && (first == null || isBefore(e, first))) {
                 first = e;
             }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/flow/RequestQueueTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/flow/RequestQueueTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 
 /** Tests the dispatch of queued requests with a simulated event loop and clock. */
 class RequestQueueTest {
@@ -40,6 +41,9 @@
         private final String mName;
         private final Arrival mArrival;
         private boolean mDone;
+        private Optional<Runnable> mRefused = Optional.empty();
+        private Runnable mOnDispatch = () -> {};
+        private boolean mReady = true;
 
         Request(String name) {
             mName = name;
@@ -51,9 +55,25 @@
             return mArrival;
         }
 
+        /** Lets the request be refused when it is prepared, after which its caller acts. */
+        Request refuse(Runnable next) {
+            mRefused = Optional.of(next);
+            return this;
+        }
+
         @Override
         public RequestQueue.Readiness prepare() {
-            return mConfigured ? RequestQueue.Readiness.READY : RequestQueue.Readiness.NOT_YET;
+            if (mDone) {
+                return RequestQueue.Readiness.DONE;
+            }
+            if (mConfigured && mRefused.isPresent()) {
+                mDone = true;
+                mRefused.get().run();
+                return RequestQueue.Readiness.DONE;
+            }
+            return mConfigured && mReady
+                    ? RequestQueue.Readiness.READY
+                    : RequestQueue.Readiness.NOT_YET;
         }
 
         @Override
@@ -65,6 +85,7 @@
         public void dispatch() {
             mDispatched.add(mName);
             mNow += mDispatchMillis;
+            mOnDispatch.run();
         }
     }
 
@@ -162,4 +183,57 @@
         runIteration();
         assertThat(mDispatched).containsExactly("a");
     }
+
+    /**
+     * Guards against an exception when a refused request is followed by one that its caller has
+     * pipelined: the refusal starts it, which adds it to the queue.
+     */
+    @Test
+    void refusedRequestIsFollowedByAPipelinedOne() {
+        mConfigured = false;
+        read("refused").refuse(() -> read("pipelined"));
+        read("other");
+        runIteration();
+        mConfigured = true;
+        mQueue.onTick();
+        runIteration();
+        assertThat(mDispatched).containsExactly("other", "pipelined").inOrder();
+        assertThat(mQueue.size()).isEqualTo(0);
+    }
+
+    /** As above, with a row of pipelined requests that are all refused but the last. */
+    @Test
+    void refusedRequestsAreFollowedByAPipelinedOne() {
+        mConfigured = false;
+        read("refused")
+                .refuse(
+                        () ->
+                                read("refused too")
+                                        .refuse(
+                                                () ->
+                                                        read("refused as well")
+                                                                .refuse(() -> read("pipelined"))));
+        read("other");
+        runIteration();
+        mConfigured = true;
+        mQueue.onTick();
+        runIteration();
+        assertThat(mDispatched).containsExactly("other", "pipelined").inOrder();
+        assertThat(mQueue.size()).isEqualTo(0);
+    }
+
+    /** As above, with a request that is refused only once the queue selects one to dispatch. */
+    @Test
+    void requestRefusedDuringSelectionIsFollowedByAPipelinedOne() {
+        Request refused = read("refused");
+        Request first = read("first");
+        refused.mReady = false;
+        first.mOnDispatch = () -> refused.refuse(() -> read("pipelined"));
+        read("other");
+        runIteration();
+        runIteration();
+        assertThat(mDispatched).containsExactly("first", "other", "pipelined");
+        mQueue.onTick();
+        assertThat(mQueue.size()).isEqualTo(0);
+    }
 }
