End attempts that get no socket

Cause: Netty's connect then returns a failed future whose channel has no event loop, and Connector asked it for one: IllegalStateException. The attempt neither ended nor failed, the pool went on counting the connection as open, and the exception ended the periodic check where it came from there.

Ruled out: UNREACHABLE as the result, since it counts against the target, which has no part in it; NO_CONNECTION_FREE, on which a liveness check opens a replacement at once, which would loop. A listener on the future would run on Netty's global thread instead of the event loop.

Change: Connector keeps its event loop and reports the new failure NO_SOCKET in a task of it. Attempts treat it like the limit of connections: nothing was sent, and the number of such attempts is bounded.

Before: ConnectionPoolTest#connectionWithoutASocketFails, with a channel factory that throws as NioSocketChannel does, fails with IllegalStateException. After: five attempts in a row fail with NO_SOCKET on the event loop and leave no connection counted. The case with real descriptors was not run again.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptResult.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptResult.java
@@ -19,7 +19,7 @@
         UNREACHABLE(false),
         /** Nothing was sent: the connection was refused at once. */
         NOBODY_LISTENS(false),
-        /** Nothing was sent: this router's connection limit for the target is reached. */
+        /** Nothing was sent: this router has reached its connection limit or lacks descriptors. */
         NO_CONNECTION(false),
         /** Nothing was sent: the target or the request became ineligible before sending. */
         WITHDRAWN(false),
@@ -103,7 +103,7 @@
                 switch (failure) {
                     case UNREACHABLE -> Kind.UNREACHABLE;
                     case NOBODY_LISTENS -> Kind.NOBODY_LISTENS;
-                    case NO_CONNECTION_FREE -> Kind.NO_CONNECTION;
+                    case NO_CONNECTION_FREE, NO_SOCKET -> Kind.NO_CONNECTION;
                     case MALFORMED -> Kind.MALFORMED;
                     case CLOSED, RESET -> Kind.BROKEN;
                 },
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/Connector.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/Connector.java
@@ -2,11 +2,12 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
-import io.netty.channel.EventLoopGroup;
+import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -29,23 +30,30 @@
 
     private static final int MAX_HEADER_BYTES = 32_768;
 
+    private final EventLoop mLoop;
     private final Bootstrap mBootstrap;
     private final SurplusCounts mSurplus = SurplusCounts.create();
     private long mOpenedCount;
 
-    private Connector(EventLoopGroup group) {
+    private Connector(EventLoop loop, ChannelFactory<? extends Channel> channels) {
+        mLoop = loop;
         mBootstrap =
                 new Bootstrap()
-                        .group(group)
-                        .channel(NioSocketChannel.class)
+                        .group(loop)
+                        .channelFactory(channels)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.ALLOCATOR, Buffers.allocator())
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, NO_TIMEOUT);
     }
 
     /** Creates a connector. */
-    public static Connector of(EventLoopGroup group) {
-        return new Connector(group);
+    public static Connector of(EventLoop loop) {
+        return of(loop, NioSocketChannel::new);
+    }
+
+    /** Creates a connector that creates channels by a factory. */
+    static Connector of(EventLoop loop, ChannelFactory<? extends Channel> channels) {
+        return new Connector(loop, channels);
     }
 
     /** Returns the number of connections opened since the start. */
@@ -68,9 +76,18 @@
                     }
                 });
         ChannelFuture connecting = b.connect(Addresses.parse(address));
+        if (connecting.isDone() && !connecting.channel().isRegistered()) {
+            // Such a channel has no event loop, and its listeners would run on another thread.
+            String detail = detailOf(connecting.cause());
+            mLoop.execute(
+                    () -> {
+                        onFailed.run();
+                        callback.onConnectionFailed(ExchangeFailure.NO_SOCKET, detail);
+                    });
+            return;
+        }
         Future<?> timeout =
-                ReadBarrier.of(connecting.channel().eventLoop())
-                        .schedule(CONNECT_TIMEOUT_MILLIS, () -> abort(connecting));
+                ReadBarrier.of(mLoop).schedule(CONNECT_TIMEOUT_MILLIS, () -> abort(connecting));
         connecting.addListener(
                 f -> {
                     timeout.cancel(false);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/ExchangeFailure.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/ExchangeFailure.java
@@ -8,6 +8,8 @@
     NOBODY_LISTENS,
     /** This router's connection limit for the target is reached; nothing was sent. */
     NO_CONNECTION_FREE,
+    /** This router cannot open a socket, e.g. for lack of descriptors; nothing was sent. */
+    NO_SOCKET,
     /** The connection closed before the response was complete. */
     CLOSED,
     /** The connection was reset. */
@@ -17,6 +19,9 @@
 
     /** Returns whether the target may have run the request. */
     public boolean mayHaveRun() {
-        return this != UNREACHABLE && this != NOBODY_LISTENS && this != NO_CONNECTION_FREE;
+        return switch (this) {
+            case UNREACHABLE, NOBODY_LISTENS, NO_CONNECTION_FREE, NO_SOCKET -> false;
+            case CLOSED, RESET, MALFORMED -> true;
+        };
     }
 }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/io/ConnectionPoolTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/io/ConnectionPoolTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -113,4 +114,45 @@
             assertThat(exchange(pool, "two")).isSameInstanceAs(second);
         }
     }
+
+    /**
+     * Guards against an attempt that neither ends nor fails, and a connection that counts as open
+     * for ever, when the process has no descriptor left for a socket.
+     */
+    @Test
+    void connectionWithoutASocketFails() throws Exception {
+        Connector connector =
+                Connector.of(
+                        LOOP,
+                        () -> {
+                            throw new ChannelException("Too many open files");
+                        });
+        ConnectionPool pool = ConnectionPool.of(connector, Clock.monotonic(), "127.0.0.1:1");
+        pool.setLimit(2);
+        for (int i = 0; i < 5; i++) {
+            CompletableFuture<ExchangeFailure> failure = new CompletableFuture<>();
+            CompletableFuture<Boolean> onLoop = new CompletableFuture<>();
+            LOOP.submit(() -> pool.acquire(60_000, failing(failure, onLoop))).get();
+            assertThat(failure.get(10, TimeUnit.SECONDS)).isEqualTo(ExchangeFailure.NO_SOCKET);
+            assertThat(onLoop.get()).isTrue();
+            assertThat(LOOP.submit(pool::openCount).get()).isEqualTo(0);
+        }
+        assertThat(ExchangeFailure.NO_SOCKET.mayHaveRun()).isFalse();
+    }
+
+    private static ConnectionCallback failing(
+            CompletableFuture<ExchangeFailure> failure, CompletableFuture<Boolean> onLoop) {
+        return new ConnectionCallback() {
+            @Override
+            public void onConnection(HttpConnection c) {
+                failure.completeExceptionally(new AssertionError("connected"));
+            }
+
+            @Override
+            public void onConnectionFailed(ExchangeFailure f, String detail) {
+                onLoop.complete(LOOP.inEventLoop());
+                failure.complete(f);
+            }
+        };
+    }
 }
