Let periodic work go on after an exception, and log it

What callers saw: after one exception in RouterService#tick no timeout was kept until the router was restarted, and nothing was logged.

Cause: Netty's event loop drops a periodic task that throws, and keeps the exception of a delayed task in its future. The other periodic work of a router (FleetState: rows, observations) and the followers, which schedule their next read themselves after they have told their listeners, have the same weakness.

Ruled out: catching around the whole check only. A step that fails at each tick would keep those after it, the stop among them, from running.

Change: GuardedSteps runs each step of RouterService#check and of FleetState's periodic work, the delayed tasks of the followers, and their listeners of rows and targets. An exception is logged as an error event (step_failed) with its stack trace, at most once a second and step, and ends only this step. JsonLineEncoder wrote no stack traces; it writes 24 frames now.

Looked at and left: the iterations in PoolAdmissions, LivenessCheck, CrashDetector, StreamOrigins and StreamRecorder go over copies or over entries that were removed first; connections and active requests are copied.

GuardedStepsTest, 4 cases; there is no case that lets a step of a whole router fail.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -21,6 +21,7 @@
 import org.forkseam.direct.io.ReadBarrier;
 import org.forkseam.direct.know.FleetState;
 import org.forkseam.direct.log.Event;
+import org.forkseam.direct.log.GuardedSteps;
 import org.forkseam.direct.spi.HeaderCodec;
 
 import java.util.HashMap;
@@ -71,6 +72,7 @@
     private final EarlyServerSocket mListener;
     private final FleetState mFleetState;
     private final RouterContext mContext;
+    private final GuardedSteps mSteps;
     private final CallerServer mServer;
     private RouterSettings.Bounds mBounds;
     private CompletableFuture<Void> mStopped;
@@ -83,6 +85,7 @@
         mListener = p.listener();
         mFleetState = p.fleetState();
         mBounds = settings.bounds();
+        mSteps = GuardedSteps.of(clock);
         mContext =
                 RouterContext.of(
                         new RouterContext.Parts(
@@ -167,7 +170,8 @@
 
     @Override
     public CompletableFuture<Void> start() {
-        mLoop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        mLoop.scheduleAtFixedRate(
+                mSteps.guard("tick", this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
         return mServer.serve(mListener)
                 .thenRun(
                         () ->
@@ -246,6 +250,7 @@
         m.put("surplus", surplus().dump());
         m.put("cold_passed_over", mContext.coldStartLimiter().skipped());
         m.put("target_crashes", mContext.crashDetector().crashCount());
+        m.put("failed_steps", mSteps.failureCount());
         m.put("leaving", mContext.isDraining());
         m.put("retry_budgets", mContext.retryBudgets().usage(mContext.now()));
         m.put("retry_budget_routers", mContext.retryBudgets().routerCount().orElse(0));
@@ -318,19 +323,25 @@
      * @param readUntil time up to which all input has been read
      */
     private void check(long readUntil) {
-        mContext.requestQueue().onTick();
-        mContext.admissions().onTick();
-        List.copyOf(mContext.activeRequests()).forEach(f -> f.onTick(readUntil));
+        mSteps.run("queue", mContext.requestQueue()::onTick);
+        mSteps.run("admissions", mContext.admissions()::onTick);
+        for (RequestFlow f : List.copyOf(mContext.activeRequests())) {
+            mSteps.run("request", () -> f.onTick(readUntil));
+        }
         if (isCleanupDue(readUntil)) {
             mLastCleanupMillis = readUntil;
-            closeUnusedConnections();
-            staleConnections(readUntil).forEach(CallerConnection::close);
+            mSteps.run("target_connections", this::closeUnusedConnections);
+            mSteps.run("stale_callers", () -> closeStaleConnections(readUntil));
         }
         if (mStopped != null) {
-            continueDraining(readUntil);
+            mSteps.run("draining", () -> continueDraining(readUntil));
         }
     }
 
+    private void closeStaleConnections(long readUntil) {
+        staleConnections(readUntil).forEach(CallerConnection::close);
+    }
+
     private boolean isCleanupDue(long now) {
         return now - mLastCleanupMillis >= CLEANUP_MILLIS;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
@@ -19,6 +19,7 @@
 import org.forkseam.core.util.Hashes;
 import org.forkseam.direct.io.ReadBarrier;
 import org.forkseam.direct.log.Event;
+import org.forkseam.direct.log.GuardedSteps;
 import org.forkseam.direct.spi.FleetSource;
 import org.forkseam.direct.spi.SharedRow;
 import org.forkseam.direct.spi.SharedRows;
@@ -57,6 +58,7 @@
     private final Clock mClock;
     private final Supplier<Map<String, Long>> mCalls;
     private final Supplier<Map<String, Long>> mUnusable;
+    private final GuardedSteps mSteps;
     private final PeerGroup mPeerGroup;
     private final PeerClient mPeerClient;
     private final StoreEra mEra = new StoreEra();
@@ -117,6 +119,7 @@
         mClock = clock;
         mCalls = sources.calls();
         mUnusable = sources.fleet()::invalidEntries;
+        mSteps = GuardedSteps.of(clock);
         mPeerGroup = new PeerGroup(loop, self, random, this::onMessage);
         mPeerClient = PeerClient.of(loop, clock, sources.peers());
         FollowerBase.Context context =
@@ -173,21 +176,22 @@
         mLoop.execute(mTargetFollower::start);
         mLoop.execute(mRowFollower::start);
         mLoop.execute(mQuarantine::start);
-        scheduleEvery(mShardTables.planPeriodMillis(), this::planRows);
-        scheduleEvery(LoadGossip.PERIOD_MILLIS, this::sendObservations);
+        scheduleEvery(mShardTables.planPeriodMillis(), "rows", this::planRows);
+        scheduleEvery(LoadGossip.PERIOD_MILLIS, "observations", this::sendObservations);
         return mPeerGroup.listen();
     }
 
     private void planRows() {
-        mShardTables.plan(config());
+        mSteps.run("shard_tables", () -> mShardTables.plan(config()));
         versions().onRecordsCurrent(mRowFollower.currentAt());
-        mVersionRecords.plan();
-        mWarmPools.plan();
-        mPlacements.dropUnused();
+        mSteps.run("version_records", mVersionRecords::plan);
+        mSteps.run("warm_pools", mWarmPools::plan);
+        mSteps.run("placements", mPlacements::dropUnused);
     }
 
-    private void scheduleEvery(long millis, Runnable task) {
-        mLoop.scheduleWithFixedDelay(task, millis, millis, TimeUnit.MILLISECONDS);
+    private void scheduleEvery(long millis, String name, Runnable task) {
+        mLoop.scheduleWithFixedDelay(
+                mSteps.guard(name, task), millis, millis, TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/FollowerBase.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/FollowerBase.java
@@ -5,6 +5,7 @@
 import org.forkseam.core.store.StorePosition;
 import org.forkseam.core.util.Clock;
 import org.forkseam.direct.io.ReadBarrier;
+import org.forkseam.direct.log.GuardedSteps;
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -48,6 +49,7 @@
 
     private final Context mContext;
     private final ReadBarrier mReadBarrier;
+    private final GuardedSteps mSteps;
     private boolean mStopped;
 
     /**
@@ -73,6 +75,7 @@
     FollowerBase(Context context) {
         mContext = context;
         mReadBarrier = ReadBarrier.of(context.loop());
+        mSteps = GuardedSteps.of(context.clock());
     }
 
     void stop() {
@@ -104,12 +107,24 @@
     }
 
     final java.util.concurrent.Future<?> schedule(long millis, Runnable task) {
-        return mContext.loop().schedule(task, millis, TimeUnit.MILLISECONDS);
+        return mContext.loop().schedule(guard(task), millis, TimeUnit.MILLISECONDS);
     }
 
     /** Schedules a task that concludes something from messages that did not arrive. */
     final java.util.concurrent.Future<?> scheduleTimeout(long millis, Runnable task) {
-        return mReadBarrier.schedule(millis, task);
+        return mReadBarrier.schedule(millis, guard(task));
+    }
+
+    private Runnable guard(Runnable task) {
+        return mSteps.guard(getClass().getSimpleName(), task);
+    }
+
+    /**
+     * Calls a listener of a change. An exception is logged and does not keep the follower from
+     * applying further changes and scheduling its next read.
+     */
+    final void notifyListener(Runnable call) {
+        mSteps.run(getClass().getSimpleName() + ".listener", call);
     }
 
     final StoreEra era() {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
@@ -342,7 +342,7 @@
         if (isRouter(row)) {
             applyRouter(row);
         } else {
-            mListener.accept(row);
+            notifyListener(() -> mListener.accept(row));
         }
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/TargetFollower.java
@@ -259,7 +259,7 @@
     private void onChange(TargetChange c) {
         logChange(c);
         if (mHasList) {
-            mOnChange.accept(c);
+            notifyListener(() -> mOnChange.accept(c));
         }
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/log/Event.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/log/Event.java
@@ -39,6 +39,14 @@
         return new Event(LOG.atWarn().setMessage(name));
     }
 
+    /**
+     * Starts a line about an exception that only a fault in this program can cause, with its stack
+     * trace; not rate-limited.
+     */
+    public static Event error(String name, Throwable cause) {
+        return new Event(LOG.atError().setMessage(name).setCause(cause));
+    }
+
     private static synchronized boolean tryAcquire() {
         long second = System.nanoTime() / 1_000_000_000L;
         if (second != sSecond) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/log/JsonLineEncoder.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/log/JsonLineEncoder.java
@@ -11,6 +11,7 @@
 
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.classic.spi.IThrowableProxy;
+import ch.qos.logback.classic.spi.StackTraceElementProxy;
 import ch.qos.logback.core.encoder.EncoderBase;
 
 /**
@@ -23,6 +24,9 @@
     private static final byte[] EMPTY = new byte[0];
     private static final int INITIAL_BUFFER_BYTES = 512;
 
+    /** Maximum number of frames of a stack trace; those of the event loop follow below. */
+    private static final int MAX_FRAMES = 24;
+
     /** Creates an encoder. */
     public JsonLineEncoder() {}
 
@@ -72,6 +76,15 @@
     private static void writeError(JsonGenerator g, IThrowableProxy error) throws IOException {
         if (error != null) {
             g.writeStringField("error", error.getClassName() + ": " + error.getMessage());
+            g.writeArrayFieldStart("stack");
+            for (int i = 0; i < Math.min(MAX_FRAMES, frames(error).length); i++) {
+                g.writeString(frames(error)[i].getStackTraceElement().toString());
+            }
+            g.writeEndArray();
         }
     }
+
+    private static StackTraceElementProxy[] frames(IThrowableProxy error) {
+        return error.getStackTraceElementProxyArray();
+    }
 }
