Send refusals on a caller's connection in the order of its requests

A caller that sends a second request before the response to the first got the refusal of the second as the response to the first: 413 for a body that is too large (from Netty's aggregator, which writes on its own), 400 for a malformed request. After a 413 the connection went on, so that the success of the first request then counted for the refused one, which had never run. A caller that asked with "Expect: 100-continue" while a stream was being written had its stream broken off, as the codec does not write a head within a body.

RequestAggregator leaves all responses to CallerConnection, which queues them with the requests. A 417 and a 413 to a request with Expect now close the connection, since it is not known whether the body follows; a refusal carries the id of its request.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerConnection.java
@@ -2,11 +2,13 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -17,6 +19,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 
 import org.forkseam.core.traffic.CallerLimits;
@@ -47,6 +50,7 @@
     private BodyReader mBodyReader;
     private Optional<RequestBodies.Reservation> mBody = Optional.empty();
     private boolean mBodyWaits;
+    private boolean mContinueDue;
     private RequestFlow mFlow;
     private boolean mKeepAlive = true;
     private boolean mClosing;
@@ -55,8 +59,8 @@
     private long mRequestStartedAt;
     private Arrival mArrival;
 
-    /** A request that waits for those before it, and the memory of its body. */
-    private record Queued(CallerRequest request, Optional<RequestBodies.Reservation> body) {}
+    /** A request that waits for those before it, what responds to it, and its body's memory. */
+    private record Queued(Runnable start, Optional<RequestBodies.Reservation> body) {}
 
     /**
      * Creates a connection.
@@ -119,7 +123,12 @@
                         mArrival == null ? mContext.arrivalTracker().next() : mArrival);
         mRequestStartedAt = 0;
         mArrival = null;
-        mQueue.add(new Queued(request, mBodyReader.takeReservation()));
+        mContinueDue = false;
+        addToQueue(() -> startFlow(request), mBodyReader.takeReservation());
+    }
+
+    private void addToQueue(Runnable start, Optional<RequestBodies.Reservation> body) {
+        mQueue.add(new Queued(start, body));
         updateAutoRead();
         startNext();
     }
@@ -185,11 +194,15 @@
         }
         Queued next = mQueue.poll();
         if (next == null) {
+            sendContinue();
             return;
         }
         updateAutoRead();
-        CallerRequest request = next.request();
         mBody = next.body();
+        next.start().run();
+    }
+
+    private void startFlow(CallerRequest request) {
         mKeepAlive = keepsAlive(request);
         mBodiless = request.method().equals(HttpMethod.HEAD);
         mFlow = new RequestFlow(mContext, request, this);
@@ -206,8 +219,52 @@
                         ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
                         : HttpResponseStatus.BAD_REQUEST;
         mContext.meters().onMalformed();
-        mKeepAlive = false;
-        respond(mContext.responses().local("", status, "malformed request"));
+        refuse("", status, "malformed request", false);
+    }
+
+    /**
+     * Refuses a request whose body is not read, after the responses to earlier requests.
+     *
+     * @param keepAlive whether the next request can be told from the body
+     */
+    void refuseBody(HttpRequest head, HttpResponseStatus status, boolean keepAlive) {
+        mBodyReader.release();
+        if (mClosing) {
+            return;
+        }
+        mContinueDue = false;
+        String id = mContext.headerCodec().decode(head).requestId().orElse("");
+        refuse(id, status, status.reasonPhrase(), keepAlive);
+    }
+
+    /** Refuses a request after the responses to earlier requests. */
+    private void refuse(String id, HttpResponseStatus status, String reason, boolean keepAlive) {
+        Runnable start =
+                () -> {
+                    mKeepAlive = keepAlive;
+                    mBodiless = false;
+                    respond(mContext.responses().local(id, status, reason));
+                };
+        addToQueue(start, Optional.empty());
+    }
+
+    /** Handles a head whose caller waits for an interim response before it sends the body. */
+    void onContinueExpected() {
+        mContinueDue = true;
+        startNext();
+    }
+
+    /** Sends the interim response that is due, if any; no other response is being written. */
+    private void sendContinue() {
+        if (mContinueDue) {
+            mContinueDue = false;
+            mRequestStartedAt = mContext.now(); // the time before is not the caller's
+            mChannel.writeAndFlush(
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.CONTINUE,
+                            Unpooled.EMPTY_BUFFER));
+        }
     }
 
     // ---------------------------------------------------------------- writing
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerServer.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerServer.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 
 import org.forkseam.core.traffic.CallerLimits;
@@ -55,7 +54,7 @@
                         })
                 .addLast(new HttpServerCodec(config))
                 .addLast(new BodyReader(mContext, connection, limits.bodyBytes()))
-                .addLast(new HttpObjectAggregator(limits.bodyBytes()))
+                .addLast(new RequestAggregator(connection, limits.bodyBytes()))
                 .addLast(connection);
     }
 
