Record streams in place of a recorder that does not confirm them

What callers saw: while the recorder of a partition was suspended, had just ended, or was cut off from the other routers or the store, the streams reported to it were never recorded. If all routers ended then, resuming them was refused although targets of their version were there.

Cause: a report is one datagram, and nobody learned whether it led to a record.

Ruled out: two recorders for each stream (twice the writes and bytes, also without failures); the router that began a stream as its recorder (writes grow with the routers); telling a newly elected recorder the running streams (helps only once the others no longer list the old one, which a suspended or cut-off router does not reach).

Change: a recorder confirms what it has written to the routers that reported it, collected for 250 ms. Without a confirmation after 1.5 s the second of the recorder's rendezvous order is asked to record the stream, then the third; they write every 4 intervals, so that there are at most 48 writes a second in all. A recorder reads its partition once a minute while it records, since rows that others wrote in its place would stay for ever. Two kinds of datagrams are new; routers that do not know them ignore them.

Tests changed: the bounds of noStreamIsFoundWithAnotherSoftware (2 reports a stream, 6 messages a question) and mostStreamsAreFoundAfterAllRoutersEnd (2 reports a stream) counted all messages. They hold as before for the messages they name; confirmations and requests are counted apart, with bounds of their own (one a stream without failures, three with them).

--- a/forkseam-core/src/main/java/org/forkseam/core/share/StreamKeepers.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/share/StreamKeepers.java
@@ -25,6 +25,12 @@
      */
     private static final int WRITES_PER_SECOND = 32;
 
+    /**
+     * Ratio of the interval of a router's writes in place of the recorder to that of the recorder,
+     * so that substitutes add a quarter to the writes.
+     */
+    private static final int SUBSTITUTE_INTERVALS = 4;
+
     /** With few partitions each is written more often, so that fewer streams are lost. */
     private static final int FEW_PARTITIONS = 2;
 
@@ -53,6 +59,13 @@
         return (MILLIS_PER_SECOND * partitions + WRITES_PER_SECOND - 1) / WRITES_PER_SECOND;
     }
 
+    /**
+     * Returns the minimum interval of the writes of a router in place of a partition's recorder.
+     */
+    public static long substituteIntervalMillis(int partitions) {
+        return SUBSTITUTE_INTERVALS * intervalMillis(partitions);
+    }
+
     /** Returns the partition of a stream. */
     public static int partitionOf(long stream, int partitions) {
         return (int) Long.remainderUnsigned(Hashes.mix(SALT, stream), partitions);
@@ -65,8 +78,17 @@
      */
     public static <T> Optional<T> recorder(
             int partition, Collection<T> routers, ToLongFunction<T> hash) {
-        return Rendezvous.highest(Hashes.mix(SALT, partition), routers, hash, 1).stream()
-                .findFirst();
+        return recorders(partition, routers, hash, 1).stream().findFirst();
+    }
+
+    /**
+     * Returns the recorder of a partition and those that record in its place, in order.
+     *
+     * @param count maximum number of routers returned
+     */
+    public static <T> List<T> recorders(
+            int partition, Collection<T> routers, ToLongFunction<T> hash, int count) {
+        return Rendezvous.highest(Hashes.mix(SALT, partition), routers, hash, count);
     }
 
     /**
--- a/forkseam-core/src/main/java/org/forkseam/core/share/StreamOriginJournal.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/share/StreamOriginJournal.java
@@ -45,6 +45,7 @@
     /** When each pending stream was added; a longer store outage than streams last drops it. */
     private final Map<StreamOrigin, Long> mPending = BoundedMap.byInsertion(MAX_PENDING);
 
+    /** Whether each stream that was added has been written. */
     private final Map<Long, Boolean> mAdded = BoundedMap.byInsertion(MAX_PENDING);
 
     /** Since when each row in the store has been known. */
@@ -70,11 +71,16 @@
 
     /** Adds a stream that has begun, unless it was added before. */
     public void add(StreamOrigin origin, long nowMillis) {
-        if (mAdded.putIfAbsent(origin.stream(), true) == null) {
+        if (mAdded.putIfAbsent(origin.stream(), false) == null) {
             mPending.put(origin, nowMillis);
         }
     }
 
+    /** Returns whether a stream has been written, as far as this journal remembers. */
+    public boolean isWritten(long stream) {
+        return mAdded.getOrDefault(stream, false);
+    }
+
     /** Records that the store has these rows. */
     public void onRows(Collection<String> keys, long nowMillis) {
         keys.forEach(k -> mRows.putIfAbsent(k, nowMillis));
@@ -120,6 +126,7 @@
     public void onWritten(Batch batch, long nowMillis) {
         mWriting = false;
         batch.origins().forEach(mPending::remove);
+        batch.origins().forEach(o -> mAdded.replace(o.stream(), true));
         batch.removed().forEach(mRows::remove);
         mRows.put(batch.key(), nowMillis);
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
@@ -388,7 +388,15 @@
             return;
         }
         if (m instanceof PeerMessage.StreamOrigins s) {
-            mStreamOrigins.onOrigins(s);
+            mStreamOrigins.onOrigins(s, sender);
+            return;
+        }
+        if (m instanceof PeerMessage.RecordStreams r) {
+            mStreamOrigins.onRecordRequest(r, sender);
+            return;
+        }
+        if (m instanceof PeerMessage.StreamsRecorded r) {
+            mStreamOrigins.onRecorded(r);
             return;
         }
         if (m instanceof PeerMessage.StreamQuery q) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerCodec.java
@@ -41,6 +41,8 @@
     private static final int PLACE_PROMPT = 23;
     private static final int PLACEMENT_ANSWER = 24;
     private static final int PROMPT_PLACED = 25;
+    private static final int RECORD_STREAMS = 26;
+    private static final int STREAMS_RECORDED = 27;
 
     private PeerCodec() {}
 
@@ -58,7 +60,12 @@
         } else if (m instanceof PeerMessage.Rows r) {
             b = writeRows(r);
         } else if (m instanceof PeerMessage.StreamOrigins s) {
-            b = writeStreamOrigins(s);
+            b = writeOrigins(STREAM_ORIGINS, s.origins());
+        } else if (m instanceof PeerMessage.RecordStreams r) {
+            b = writeOrigins(RECORD_STREAMS, r.origins());
+        } else if (m instanceof PeerMessage.StreamsRecorded r) {
+            b = newMessage(STREAMS_RECORDED).writeShort(r.streams().size());
+            r.streams().forEach(b::writeLong);
         } else if (m instanceof PeerMessage.StreamQuery q) {
             b = newMessage(STREAM_QUERY).writeLong(q.stream());
             StringCodec.write(b, q.pool());
@@ -96,7 +103,11 @@
             case TARGETS -> Optional.of(readTargets(b.skipBytes(2)));
             case ROWS -> Optional.of(readRows(b.skipBytes(2)));
             case OBSERVATIONS -> Optional.of(readObservations(b.skipBytes(2)));
-            case STREAM_ORIGINS -> Optional.of(readStreamOrigins(b.skipBytes(2)));
+            case STREAM_ORIGINS ->
+                    Optional.of(new PeerMessage.StreamOrigins(readOrigins(b.skipBytes(2))));
+            case RECORD_STREAMS ->
+                    Optional.of(new PeerMessage.RecordStreams(readOrigins(b.skipBytes(2))));
+            case STREAMS_RECORDED -> Optional.of(readStreamsRecorded(b.skipBytes(2)));
             case STREAM_QUERY -> {
                 b.skipBytes(2);
                 yield Optional.of(new PeerMessage.StreamQuery(b.readLong(), StringCodec.read(b)));
@@ -225,18 +236,26 @@
 
     // ---------------------------------------------------------------- streams
 
-    private static ByteBuf writeStreamOrigins(PeerMessage.StreamOrigins m) {
-        ByteBuf b = newMessage(STREAM_ORIGINS).writeShort(m.origins().size());
-        m.origins().forEach(o -> b.writeLong(o.stream()).writeLong(o.software()));
+    private static ByteBuf writeOrigins(int kind, List<StreamOrigin> origins) {
+        ByteBuf b = newMessage(kind).writeShort(origins.size());
+        origins.forEach(o -> b.writeLong(o.stream()).writeLong(o.software()));
         return b;
     }
 
-    private static PeerMessage readStreamOrigins(ByteBuf b) {
+    private static List<StreamOrigin> readOrigins(ByteBuf b) {
         List<StreamOrigin> origins = new ArrayList<>();
         for (int i = b.readUnsignedShort(); i > 0; i--) {
             origins.add(new StreamOrigin(b.readLong(), b.readLong()));
         }
-        return new PeerMessage.StreamOrigins(origins);
+        return origins;
+    }
+
+    private static PeerMessage readStreamsRecorded(ByteBuf b) {
+        List<Long> streams = new ArrayList<>();
+        for (int i = b.readUnsignedShort(); i > 0; i--) {
+            streams.add(b.readLong());
+        }
+        return new PeerMessage.StreamsRecorded(streams);
     }
 
     // ---------------------------------------------------------------- observations
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerGroup.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerGroup.java
@@ -32,8 +32,11 @@
     /** All known routers, including this one. */
     private List<Peer> mCandidates = List.of();
 
-    /** The router that records each partition of streams, computed when first needed. */
-    private final Map<Integer, Optional<Peer>> mRecorders = new HashMap<>();
+    /**
+     * The router that records each partition of streams and those that do so in its place, computed
+     * when first needed.
+     */
+    private final Map<Integer, List<Peer>> mRecorders = new HashMap<>();
 
     private long mMessagesSent;
 
@@ -148,9 +151,9 @@
 
     @Override
     public int sendToKeepers(long stream, int count, PeerMessage m) {
+        Optional<Peer> recorder = recorder(StreamKeepers.partitionOf(stream, partitions()), 0);
         List<String> keepers =
-                StreamKeepers.select(stream, mPeers, recorder(stream), Peer::hostHash, count)
-                        .stream()
+                StreamKeepers.select(stream, mPeers, recorder, Peer::hostHash, count).stream()
                         .map(Peer::address)
                         .toList();
         mMessagesSent += keepers.size();
@@ -164,14 +167,27 @@
     }
 
     @Override
-    public boolean isRecorder(long stream) {
-        return recorder(stream).map(p -> p.address().equals(address())).orElse(true);
+    public boolean isRecorder(int partition, int rank) {
+        return recorder(partition, rank).filter(p -> p.address().equals(address())).isPresent();
+    }
+
+    @Override
+    public void sendToRecorder(int partition, int rank, PeerMessage m) {
+        Optional<Peer> recorder = recorder(partition, rank);
+        recorder.filter(mPeers::contains).ifPresent(p -> sendTo(mChannel.address(p.address()), m));
     }
 
-    private Optional<Peer> recorder(long stream) {
-        return mRecorders.computeIfAbsent(
-                StreamKeepers.partitionOf(stream, partitions()),
-                p -> StreamKeepers.recorder(p, mCandidates, Peer::hostHash));
+    private Optional<Peer> recorder(int partition, int rank) {
+        if (mCandidates.isEmpty()) {
+            refreshPeerAddresses(); // no router is known yet, but this one
+        }
+        List<Peer> recorders =
+                mRecorders.computeIfAbsent(
+                        partition,
+                        p ->
+                                StreamKeepers.recorders(
+                                        p, mCandidates, Peer::hostHash, StreamOrigins.RECORDERS));
+        return recorders.stream().skip(rank).findFirst();
     }
 
     @Override
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerMessage.java
@@ -26,6 +26,8 @@
                 PeerMessage.Rows,
                 PeerMessage.StreamOrigins,
                 PeerMessage.StreamQuery,
+                PeerMessage.RecordStreams,
+                PeerMessage.StreamsRecorded,
                 PeerMessage.PlacePrompt,
                 PeerMessage.PlacementAnswer,
                 PeerMessage.PromptPlaced,
@@ -151,6 +153,20 @@
      */
     record StreamQuery(long stream, String pool) implements PeerMessage {}
 
+    /**
+     * Asks a router to record streams whose recorder has not confirmed that it has recorded them.
+     *
+     * @param origins the streams
+     */
+    record RecordStreams(List<StreamOrigin> origins) implements PeerMessage {}
+
+    /**
+     * Confirms to a router that streams that it has reported are recorded.
+     *
+     * @param streams hashes of the streams
+     */
+    record StreamsRecorded(List<Long> streams) implements PeerMessage {}
+
     /**
      * Asks the coordinator of a group of engines to place a prompt.
      *
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamOrigins.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamOrigins.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.know;
 
 import org.forkseam.core.member.VersionHistory;
+import org.forkseam.core.share.StreamKeepers;
 import org.forkseam.core.share.StreamOrigin;
 import org.forkseam.core.share.StreamOriginTable;
 import org.forkseam.core.util.Clock;
@@ -38,6 +39,9 @@
      */
     static final int ASKED = KEEPERS + 1;
 
+    /** Routers that may record a stream: its recorder, and two in its place. */
+    static final int RECORDERS = 3;
+
     /** Maximum wait for replies; a running router replies within a few milliseconds. */
     private static final long REPLY_TIMEOUT_MILLIS = 250;
 
@@ -49,6 +53,7 @@
     private final Network mNetwork;
     private final VersionHistory mVersions;
     private final StreamRecorder mRecorder;
+    private final UnconfirmedStreams mUnconfirmed;
     private final StreamOriginTable mTable = StreamOriginTable.create();
     private final Map<Long, Query> mQueries = new HashMap<>();
     private long mReports;
@@ -65,8 +70,15 @@
         /** Returns the number of partitions of the streams. */
         int partitions();
 
-        /** Returns whether this router records a stream in the store. */
-        boolean isRecorder(long stream);
+        /**
+         * Returns whether this router records a partition in the store.
+         *
+         * @param rank 0 for the recorder, more for those that record in its place
+         */
+        boolean isRecorder(int partition, int rank);
+
+        /** Sends a message to such a router, unless there is none or it is this one. */
+        void sendToRecorder(int partition, int rank, PeerMessage m);
 
         /** Sends a message to the router at an address. */
         void sendTo(InetSocketAddress address, PeerMessage m);
@@ -128,7 +140,10 @@
         mClock = clock;
         mNetwork = network;
         mVersions = versions;
-        mRecorder = new StreamRecorder(timer, clock, records, network::partitions);
+        mUnconfirmed = new UnconfirmedStreams(timer, clock, network, this::recordHere);
+        StreamConfirmations confirmations =
+                new StreamConfirmations(timer, network, mUnconfirmed::onRecorded);
+        mRecorder = new StreamRecorder(timer, clock, records, network, confirmations);
     }
 
     /** Creates a table of streams that begin at this router or are reported to it. */
@@ -160,17 +175,23 @@
      * whether any is known.
      */
     public boolean report(StreamOrigin origin) {
-        recordIfResponsible(origin);
+        mUnconfirmed.add(origin);
+        if (isRecorder(origin.stream())) {
+            mRecorder.add(origin, Optional.empty());
+        }
         PeerMessage m = new PeerMessage.StreamOrigins(List.of(origin));
         int sent = mNetwork.sendToKeepers(origin.stream(), KEEPERS, m);
         mReports += sent;
         return sent > 0;
     }
 
-    private void recordIfResponsible(StreamOrigin origin) {
-        if (mNetwork.isRecorder(origin.stream())) {
-            mRecorder.add(origin);
-        }
+    private boolean isRecorder(long stream) {
+        return mNetwork.isRecorder(StreamKeepers.partitionOf(stream, mNetwork.partitions()), 0);
+    }
+
+    /** Records streams in place of their recorder, which has not confirmed them to this router. */
+    private void recordHere(List<StreamOrigin> origins) {
+        origins.forEach(o -> mRecorder.add(o, Optional.empty()));
     }
 
     // ---------------------------------------------------------------- streams that are resumed
@@ -199,7 +220,7 @@
         Query q = new Query(asked);
         q.mListeners.add(listener);
         mQueries.put(stream, q);
-        if (mNetwork.isRecorder(stream)) {
+        if (isRecorder(stream)) {
             q.mRepliesLeft++;
             mRecorder.read(stream, () -> onReply(findRecorded(stream), Source.RECORD, q));
         }
@@ -249,7 +270,7 @@
 
     void onQuery(PeerMessage.StreamQuery query, InetSocketAddress sender) {
         Optional<Result> known = findHere(query.stream(), query.pool());
-        if (known.isPresent() || !mNetwork.isRecorder(query.stream())) {
+        if (known.isPresent() || !isRecorder(query.stream())) {
             reply(query.stream(), known.orElse(Result.none()), sender);
             return;
         }
@@ -263,11 +284,11 @@
         mNetwork.sendTo(sender, new PeerMessage.StreamOrigins(List.of(o)));
     }
 
-    void onOrigins(PeerMessage.StreamOrigins m) {
+    void onOrigins(PeerMessage.StreamOrigins m, InetSocketAddress sender) {
         for (StreamOrigin o : m.origins()) {
             if (o.isKnown()) {
                 record(o);
-                recordIfResponsible(o);
+                recordIfResponsible(o, sender);
             }
             Query q = mQueries.get(o.stream());
             if (q != null) {
@@ -276,6 +297,24 @@
         }
     }
 
+    private void recordIfResponsible(StreamOrigin origin, InetSocketAddress reporter) {
+        if (isRecorder(origin.stream())) {
+            mRecorder.add(origin, Optional.of(reporter));
+        }
+    }
+
+    /** Records streams in place of their recorder, which has not confirmed them to the sender. */
+    void onRecordRequest(PeerMessage.RecordStreams m, InetSocketAddress sender) {
+        for (StreamOrigin o : m.origins()) {
+            record(o);
+            mRecorder.add(o, Optional.of(sender));
+        }
+    }
+
+    void onRecorded(PeerMessage.StreamsRecorded m) {
+        m.streams().forEach(mUnconfirmed::onRecorded);
+    }
+
     private void onReply(StreamOrigin o, Source source, Query q) {
         q.mRepliesLeft--;
         if (o.isKnown()) {
@@ -292,6 +331,8 @@
         m.put("reported", mReports);
         m.put("asked", mQuestions);
         m.put("pending", (long) mQueries.size());
+        m.put("unconfirmed", (long) mUnconfirmed.size());
+        m.put("record_requests", mUnconfirmed.requested());
         m.putAll(mRecorder.dump());
         return m;
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamRecorder.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamRecorder.java
@@ -10,6 +10,7 @@
 import org.forkseam.direct.log.Event;
 import org.forkseam.direct.spi.StreamRecords;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -17,7 +18,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.function.IntSupplier;
 
 /**
  * Records in the store which software began streams, and reads these records after the routers that
@@ -30,10 +30,17 @@
     /** Minimum interval of the reads of a partition; those who ask in between share a read. */
     static final long READ_INTERVAL_MILLIS = 500;
 
+    /**
+     * Interval of the reads of a partition by a router that records it: others may have recorded it
+     * in its place since, whose rows nobody else would remove.
+     */
+    private static final long ROW_READ_INTERVAL_MILLIS = 60_000;
+
     private final StreamOrigins.Timer mTimer;
     private final Clock mClock;
     private final StreamRecords mRecords;
-    private final IntSupplier mPartitionCount;
+    private final StreamOrigins.Network mNetwork;
+    private final StreamConfirmations mConfirmations;
     private final Map<Integer, Partition> mPartitions = new HashMap<>();
     private long mWrites;
     private long mBytes;
@@ -54,36 +61,59 @@
         }
     }
 
-    /**
-     * Creates a recorder.
-     *
-     * @param partitions supplies the number of partitions
-     */
     StreamRecorder(
-            StreamOrigins.Timer timer, Clock clock, StreamRecords records, IntSupplier partitions) {
+            StreamOrigins.Timer timer,
+            Clock clock,
+            StreamRecords records,
+            StreamOrigins.Network network,
+            StreamConfirmations confirmations) {
         mTimer = timer;
         mClock = clock;
         mRecords = records;
-        mPartitionCount = partitions;
+        mNetwork = network;
+        mConfirmations = confirmations;
     }
 
     private Partition partition(long stream) {
-        int index = StreamKeepers.partitionOf(stream, mPartitionCount.getAsInt());
+        int index = StreamKeepers.partitionOf(stream, mNetwork.partitions());
         return mPartitions.computeIfAbsent(index, Partition::new);
     }
 
     // ---------------------------------------------------------------- writing
 
-    /** Records a stream of a partition that this router records. */
-    void add(StreamOrigin origin) {
+    /**
+     * Records a stream of a partition that this router records, also in place of another.
+     *
+     * @param reporter the router to which this is confirmed; empty if it is this one
+     */
+    void add(StreamOrigin origin, Optional<InetSocketAddress> reporter) {
         Partition p = partition(origin.stream());
+        mConfirmations.await(origin.stream(), reporter);
+        if (p.mJournal.isWritten(origin.stream())) {
+            mConfirmations.onRecorded(origin.stream());
+            return;
+        }
         p.mJournal.add(origin, mClock.nowMillis());
-        if (p.mReadStartedAt.isEmpty()) {
-            startRead(p); // learns which rows of earlier recorders are to be removed
+        if (isRowReadDue(p)) {
+            startRead(p); // learns which rows of other recorders are to be removed
         }
         scheduleWrite(p);
     }
 
+    private boolean isRowReadDue(Partition p) {
+        return !p.mReading
+                && (p.mReadStartedAt.isEmpty()
+                        || mClock.nowMillis() - p.mReadStartedAt.getAsLong()
+                                >= ROW_READ_INTERVAL_MILLIS);
+    }
+
+    private long intervalMillis(Partition p) {
+        int partitions = mNetwork.partitions();
+        return mNetwork.isRecorder(p.mIndex, 0)
+                ? StreamKeepers.intervalMillis(partitions)
+                : StreamKeepers.substituteIntervalMillis(partitions);
+    }
+
     private void scheduleWrite(Partition p) {
         OptionalLong delay = p.mJournal.delayMillis(mClock.nowMillis());
         if (delay.isPresent() && !p.mWriteScheduled) {
@@ -94,8 +124,8 @@
 
     private void write(Partition p) {
         p.mWriteScheduled = false;
-        long interval = StreamKeepers.intervalMillis(mPartitionCount.getAsInt());
-        Optional<StreamOriginJournal.Batch> next = p.mJournal.next(interval, mClock.nowMillis());
+        Optional<StreamOriginJournal.Batch> next =
+                p.mJournal.next(intervalMillis(p), mClock.nowMillis());
         if (next.isEmpty()) {
             scheduleWrite(p);
             return;
@@ -110,6 +140,7 @@
     private void onWritten(Partition p, StreamOriginJournal.Batch batch, Throwable failure) {
         if (failure == null) {
             p.mJournal.onWritten(batch, mClock.nowMillis());
+            batch.origins().forEach(o -> mConfirmations.onRecorded(o.stream()));
         } else {
             p.mJournal.onFailed(batch, mClock.nowMillis());
             Event.of("stream_record_not_written").with("cause", failure.getMessage()).log();
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
@@ -123,6 +123,10 @@
                     List.of(
                             new StreamOrigin(Long.MIN_VALUE, 7),
                             new StreamOrigin(-3, StreamOrigin.UNKNOWN)));
+    private static final PeerMessage RECORD_STREAMS =
+            new PeerMessage.RecordStreams(List.of(new StreamOrigin(Long.MIN_VALUE, 3)));
+    private static final PeerMessage STREAMS_RECORDED =
+            new PeerMessage.StreamsRecorded(List.of(-5L, Long.MAX_VALUE));
     private static final PeerMessage STREAM_QUERY = new PeerMessage.StreamQuery(-5, "forecast-lm");
 
     private static final PeerMessage PLACE_PROMPT =
@@ -161,6 +165,8 @@
                         ROWS,
                         OBSERVATIONS,
                         STREAM_ORIGINS,
+                        RECORD_STREAMS,
+                        STREAMS_RECORDED,
                         STREAM_QUERY,
                         PLACE_PROMPT,
                         PLACEMENT_ANSWER,
@@ -179,6 +185,8 @@
                         ROWS,
                         OBSERVATIONS,
                         STREAM_ORIGINS,
+                        RECORD_STREAMS,
+                        STREAMS_RECORDED,
                         STREAM_QUERY,
                         PLACE_PROMPT,
                         PLACEMENT_ANSWER,
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/StreamOriginsTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/StreamOriginsTest.java
@@ -50,6 +50,21 @@
     /** Bound on the writes a second of all routers; small fleets are allowed 400 in all. */
     private static final int MAX_WRITES_PER_SECOND = 32;
 
+    /** The same, with those of the routers that record in place of others. */
+    private static final int MAX_WRITES_WITH_SUBSTITUTES_PER_SECOND = 48;
+
+    /** A confirmation of a stream, and two requests to record it in place of its recorder. */
+    private static final int MAX_RECORD_MESSAGES = 3;
+
+    /** All but the streams of the last 2 of {@link #SECONDS}, which are not confirmed yet. */
+    private static final double MIN_FOUND_WITH_SUBSTITUTES = 0.8;
+
+    /** Bytes of the messages about a stream; two reports alone have 96. */
+    private static final long MAX_BYTES_PER_STREAM = 135;
+
+    /** Headers of UDP and IP. */
+    private static final int HEADER_BYTES = 28;
+
     /** A stream is reported to this many routers at most. */
     private static final int MAX_REPORTS = 2;
 
@@ -62,12 +77,23 @@
         private final double mLossRate;
         private final Records mRecords = new Records(this);
         private final List<Router> mRouters = new ArrayList<>();
-        private final Map<Integer, Optional<Router>> mRecorders = new HashMap<>();
+        private final Map<Integer, List<Router>> mRecorders = new HashMap<>();
         private final PriorityQueue<Event> mEvents = new PriorityQueue<>();
         private long mNow = 1_000_000;
         private long mSequence;
+
+        /** Reports, questions and replies. */
         private long mMessages;
 
+        /** Confirmations of records, and requests to record in place of others. */
+        private long mRecordMessages;
+
+        private long mMessageBytes;
+        private long mStreams;
+        private long mRecordMessagesBeforeEnd;
+        private long mBytesBeforeEnd;
+        private long mWritesBeforeEnd;
+
         Fleet(int routers, long seed, double lossRate) {
             mRandom = new SplittableRandom(seed);
             mLossRate = lossRate;
@@ -91,7 +117,13 @@
         }
 
         void send(Router from, Router to, PeerMessage m) {
-            mMessages++;
+            if (m instanceof PeerMessage.RecordStreams
+                    || m instanceof PeerMessage.StreamsRecorded) {
+                mRecordMessages++;
+            } else {
+                mMessages++;
+            }
+            mMessageBytes += PeerCodec.write(m).orElseThrow().readableBytes() + HEADER_BYTES;
             if (mRandom.nextDouble() < mLossRate) {
                 return;
             }
@@ -114,9 +146,19 @@
         }
 
         Optional<Router> recorder(long stream) {
-            return mRecorders.computeIfAbsent(
-                    StreamKeepers.partitionOf(stream, partitions()),
-                    p -> StreamKeepers.recorder(p, mRouters, Router::hash));
+            return recorder(StreamKeepers.partitionOf(stream, partitions()), 0);
+        }
+
+        Optional<Router> recorder(int partition, int rank) {
+            return mRecorders
+                    .computeIfAbsent(
+                            partition,
+                            p ->
+                                    StreamKeepers.recorders(
+                                            p, mRouters, Router::hash, StreamOrigins.RECORDERS))
+                    .stream()
+                    .skip(rank)
+                    .findFirst();
         }
     }
 
@@ -197,6 +239,7 @@
         private final long mHash;
         private int mLife;
         private boolean mRunning = true;
+        private boolean mReachesStore = true;
         private VersionHistory mVersions;
         private StreamOrigins mOrigins;
 
@@ -230,7 +273,27 @@
                             () -> mFleet.mNow,
                             this,
                             mVersions,
-                            mFleet.mRecords);
+                            records());
+        }
+
+        /** Returns the records, which fail while this router does not reach the store. */
+        private StreamRecords records() {
+            return new StreamRecords() {
+                @Override
+                public CompletableFuture<Map<String, byte[]>> read(int partition) {
+                    return mReachesStore
+                            ? mFleet.mRecords.read(partition)
+                            : CompletableFuture.failedFuture(SourceException.of("cut off"));
+                }
+
+                @Override
+                public CompletableFuture<Void> write(
+                        int partition, String key, byte[] value, List<String> removed) {
+                    return mReachesStore
+                            ? mFleet.mRecords.write(partition, key, value, removed)
+                            : CompletableFuture.failedFuture(SourceException.of("cut off"));
+                }
+            };
         }
 
         @Override
@@ -249,8 +312,15 @@
         }
 
         @Override
-        public boolean isRecorder(long stream) {
-            return mFleet.recorder(stream).filter(r -> r == this).isPresent();
+        public boolean isRecorder(int partition, int rank) {
+            return mFleet.recorder(partition, rank).filter(r -> r == this).isPresent();
+        }
+
+        @Override
+        public void sendToRecorder(int partition, int rank, PeerMessage m) {
+            mFleet.recorder(partition, rank)
+                    .filter(r -> r != this)
+                    .ifPresent(r -> mFleet.send(this, r, m));
         }
 
         private long hash() {
@@ -263,10 +333,15 @@
         }
 
         void receive(PeerMessage m, Router from) {
+            InetSocketAddress sender = InetSocketAddress.createUnresolved("x", from.mIndex);
             if (m instanceof PeerMessage.StreamQuery q) {
-                mOrigins.onQuery(q, InetSocketAddress.createUnresolved("x", from.mIndex));
+                mOrigins.onQuery(q, sender);
+            } else if (m instanceof PeerMessage.RecordStreams r) {
+                mOrigins.onRecordRequest(r, sender);
+            } else if (m instanceof PeerMessage.StreamsRecorded r) {
+                mOrigins.onRecorded(r);
             } else {
-                mOrigins.onOrigins((PeerMessage.StreamOrigins) m);
+                mOrigins.onOrigins((PeerMessage.StreamOrigins) m, sender);
             }
         }
 
@@ -402,6 +477,7 @@
         f.run(REPLY_TIMEOUT_MILLIS);
         assertThat(f.mMessages)
                 .isAtMost(MAX_REPORTS * begun.size() + MAX_QUESTION_MESSAGES * resumed);
+        assertThat(f.mRecordMessages).isAtMost((long) MAX_RECORD_MESSAGES * begun.size());
     }
 
     /**
@@ -476,6 +552,7 @@
             }
             long elapsed = f.mNow - start;
             assertThat(f.mMessages).isAtMost((long) MAX_REPORTS * streams.size());
+            assertThat(f.mRecordMessages).isAtMost((long) streams.size());
             assertThat(f.mRecords.mWrites).isAtMost(MAX_WRITES_PER_SECOND * (elapsed / 1_000 + 1));
             f.mRouters.forEach(Router::kill);
             f.run(1_000);
@@ -562,4 +639,109 @@
             assertThat(found.size()).isAtLeast(streams.size() / 2);
         }
     }
+
+    // ---------------------------------------------------------------- recorders that do not record
+
+    /**
+     * Lets streams begin for {@link #SECONDS} at the other routers than the recorder of the first
+     * partition, ends all routers and returns the share of the streams that are found.
+     */
+    private static double shareFoundAfterAllEnd(Fleet f, Router recorder) {
+        int n = f.mRouters.size();
+        SplittableRandom random = new SplittableRandom(n);
+        int perSecond = n == 340 ? 3_500 : 244;
+        List<Long> streams = new ArrayList<>();
+        long start = f.mNow;
+        for (int i = 0; i < SECONDS * perSecond; i++) {
+            streams.add(random.nextLong());
+            int at = random.nextInt(n - 1);
+            f.router(at < recorder.mIndex ? at : at + 1).begin(streams.get(i), 1 + i % 3);
+            f.run(start + (i + 1) * 1_000L / perSecond - f.mNow);
+        }
+        long elapsed = f.mNow - start;
+        f.mStreams = streams.size();
+        f.mRecordMessagesBeforeEnd = f.mRecordMessages;
+        f.mBytesBeforeEnd = f.mMessageBytes;
+        f.mWritesBeforeEnd = f.mRecords.mWrites;
+        assertThat(f.mMessages).isAtMost((long) MAX_REPORTS * streams.size());
+        assertThat(f.mRecordMessages).isAtMost((long) MAX_RECORD_MESSAGES * streams.size());
+        assertThat(f.mRecords.mWrites)
+                .isAtMost(MAX_WRITES_WITH_SUBSTITUTES_PER_SECOND * (elapsed / 1_000 + 1));
+        f.mRouters.forEach(Router::kill);
+        f.run(1_000);
+        f.mRouters.forEach(r -> r.mReachesStore = true);
+        f.mRouters.forEach(Router::restart);
+        Set<Long> found = new HashSet<>();
+        for (long stream : streams) {
+            f.router(random.nextInt(n))
+                    .mOrigins
+                    .find(stream, POOL, r -> r.software().ifPresent(s -> found.add(stream)));
+        }
+        f.run(REPLY_TIMEOUT_MILLIS);
+        return (double) found.size() / streams.size();
+    }
+
+    private static Fleet connectedFleet(int routers) {
+        Fleet f = new Fleet(routers, routers, 0);
+        f.mRecords.mConnected = true;
+        return f;
+    }
+
+    private static Router firstRecorder(Fleet f) {
+        return StreamKeepers.recorder(0, f.mRouters, Router::hash).orElseThrow();
+    }
+
+    /**
+     * Guards against refusing the streams of a partition, which are half of all in a small fleet,
+     * because their recorder had ended or was suspended, and the others still listed it.
+     */
+    @Test
+    void streamsAreRecordedWhileTheirRecorderIsSilent() {
+        for (int n : List.of(5, 23, 340)) {
+            Fleet f = connectedFleet(n);
+            Router recorder = firstRecorder(f);
+            recorder.kill();
+            assertWithMessage("%s routers", n)
+                    .that(shareFoundAfterAllEnd(f, recorder))
+                    .isAtLeast(MIN_FOUND_WITH_SUBSTITUTES);
+        }
+    }
+
+    /** As above, with a recorder that hears the other routers and does not reach the store. */
+    @Test
+    void streamsAreRecordedWhileTheirRecorderIsCutOffFromTheStore() {
+        for (int n : List.of(5, 23, 340)) {
+            Fleet f = connectedFleet(n);
+            Router recorder = firstRecorder(f);
+            recorder.mReachesStore = false;
+            assertWithMessage("%s routers", n)
+                    .that(shareFoundAfterAllEnd(f, recorder))
+                    .isAtLeast(MIN_FOUND_WITH_SUBSTITUTES);
+        }
+    }
+
+    /** As above, without any fault and with lost messages only; the cost stays within bounds. */
+    @Test
+    void streamsOfLostReportsAreRecorded() {
+        for (int n : List.of(5, 23, 340)) {
+            Fleet f = new Fleet(n, n, 0.05);
+            f.mRecords.mConnected = true;
+            assertWithMessage("%s routers", n)
+                    .that(shareFoundAfterAllEnd(f, firstRecorder(f)))
+                    .isAtLeast(MIN_FOUND_WITH_SUBSTITUTES);
+        }
+    }
+
+    /** Guards against a cost of confirmations that grows faster than the streams. */
+    @Test
+    void confirmationsAddLessThanAMessageToAStream() {
+        for (int n : List.of(5, 23, 340)) {
+            Fleet f = connectedFleet(n);
+            double found = shareFoundAfterAllEnd(f, firstRecorder(f));
+            assertWithMessage("%s routers", n).that(found).isAtLeast(0.95);
+            assertThat(f.mRecordMessagesBeforeEnd).isAtMost(f.mStreams);
+            assertThat(f.mBytesBeforeEnd).isAtMost(MAX_BYTES_PER_STREAM * f.mStreams);
+            assertThat(f.mWritesBeforeEnd).isAtMost((long) MAX_WRITES_PER_SECOND * (SECONDS + 1));
+        }
+    }
 }
