Infer the version of an unnamed stream only where it is asked for

What callers saw: a caller that resumes a stream without naming the request that began it could get events of another version, or of another pool of a split route, behind those it had.

Cause: all such streams had one identity, the hash of an empty id. A router that could not infer their version itself, shortly after its start, asked others, and remembered the answer as the origin of that identity for 30 s; if it records that partition, also in the store. Once a second version had opened within that time, its streams were continued at the first. On a split route the pool of such a stream was chosen by the id of the new request, and the version of that pool inferred.

Ruled out: a question to others whose answer is not remembered, for one identity a pool: the version record lets a router that has just started infer by itself in most cases.

Change: for an unnamed stream a router uses only what it infers itself, and nothing on a route with several pools; otherwise it refuses. Streams with a name are looked up as before. No messages or writes are added.

Before: StreamOriginsTest#inferenceForAnUnnamedStreamIsNotRemembered finds the first version (KNOWN) while two are there.

Two cases for the records of substitutes and confirmations come along: rowsOfSubstitutesAreRemoved, streamCountsAsWrittenAfterItsBatchOnly.

--- a/forkseam-core/src/test/java/org/forkseam/core/share/StreamOriginJournalTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/share/StreamOriginJournalTest.java
@@ -40,6 +40,18 @@
         assertThat(mJournal.delayMillis(START + 1)).isEmpty();
     }
 
+    /** Guards against a confirmation of a stream that is not in the store. */
+    @Test
+    void streamCountsAsWrittenAfterItsBatchOnly() {
+        mJournal.add(new StreamOrigin(1, 70), START);
+        assertThat(mJournal.isWritten(1)).isFalse();
+        mJournal.onFailed(next(START), START);
+        assertThat(mJournal.isWritten(1)).isFalse();
+        mJournal.onWritten(next(START + StreamOriginJournal.RETRY_MILLIS), START + 1_000);
+        assertThat(mJournal.isWritten(1)).isTrue();
+        assertThat(mJournal.isWritten(2)).isFalse();
+    }
+
     /** Guards against streams that are lost with a failed write, and against a second in flight. */
     @Test
     void failedBatchIsWrittenAgain() {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/ResumableStream.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/ResumableStream.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.flow;
 
 import org.forkseam.core.share.StreamOrigin;
+import org.forkseam.core.traffic.Route;
 import org.forkseam.direct.know.FleetState;
 import org.forkseam.direct.know.StreamOrigins;
 
@@ -50,10 +51,21 @@
     /** Finds the software that began a resumed stream. */
     void findOrigin(Consumer<StreamOrigins.Result> listener) {
         // A caller that does not name the first request may still be served by a sole version.
-        String pool = mFleetState.isRouteSettled(mAdmission.route()) ? mAdmission.pool() : "";
+        boolean known =
+                isPoolKnown(mAdmission.route(), mFirstRequestId)
+                        && mFleetState.isRouteSettled(mAdmission.route());
+        String pool = known ? mAdmission.pool() : "";
         mOrigins.find(StreamOrigins.streamOf(mFirstRequestId.orElse("")), pool, listener);
     }
 
+    /**
+     * Returns whether the pool of a stream follows from the id of the request that began it. On a
+     * split route, without that id, any of its pools may have begun the stream.
+     */
+    static boolean isPoolKnown(Route route, Optional<String> firstRequestId) {
+        return firstRequestId.isPresent() || route.shares().size() <= 1;
+    }
+
     /** Records that the first events were passed on. */
     void onEvents(long softwareKey) {
         if (mSoftware.isPresent() || mFirstRequestId.isEmpty()) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamOrigins.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamOrigins.java
@@ -48,6 +48,9 @@
     /** Maximum wait for a read of the store after that; a caller can request the stream anew. */
     private static final long READ_TIMEOUT_MILLIS = 400;
 
+    /** Stream of a caller that does not name the request which began it. */
+    private static final long UNNAMED = streamOf("");
+
     private final Timer mTimer;
     private final Clock mClock;
     private final Network mNetwork;
@@ -197,13 +200,18 @@
     // ---------------------------------------------------------------- streams that are resumed
 
     /**
-     * Finds the software that began a stream.
+     * Finds the software that began a stream. That of a stream without a name is only inferred, and
+     * only here: such streams have nothing in common, so that no router can remember an answer.
      *
      * @param pool the pool that certainly began it; empty if only an origin that a router knows may
      *     be used
      * @param listener receives the result, before this method returns if it is known here
      */
     public void find(long stream, String pool, Consumer<Result> listener) {
+        if (stream == UNNAMED) {
+            listener.accept(infer(pool).orElse(Result.none()));
+            return;
+        }
         Optional<Result> known = findHere(stream, pool);
         if (known.isPresent()) {
             listener.accept(known.get());
@@ -253,13 +261,20 @@
         if (known.isPresent()) {
             return Optional.of(Result.of(known.get().software(), Source.KNOWN));
         }
-        OptionalLong sole = mVersions.soleVersion(pool, now);
-        if (sole.isPresent()) {
-            return Optional.of(Result.of(sole.getAsLong(), Source.SOLE_VERSION));
+        Optional<Result> inferred = infer(pool);
+        if (inferred.isPresent()) {
+            return inferred;
         }
         return mRecorder.find(stream).map(o -> Result.of(o.software(), Source.RECORD));
     }
 
+    private Optional<Result> infer(String pool) {
+        OptionalLong sole = mVersions.soleVersion(pool, mClock.nowMillis());
+        return sole.isPresent()
+                ? Optional.of(Result.of(sole.getAsLong(), Source.SOLE_VERSION))
+                : Optional.empty();
+    }
+
     private void finish(long stream, Query q, Result result) {
         if (mQueries.remove(stream, q)) {
             q.mListeners.forEach(l -> l.accept(result));
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/StreamOriginsTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/StreamOriginsTest.java
@@ -433,6 +433,42 @@
         assertThat(results.get(0).source()).isEqualTo(StreamOrigins.Source.ROUTER);
     }
 
+    private static Target target(String id, String version) {
+        return Target.of(new TargetEntry(id, POOL, "10.0.0.1:1", "z", 8, false, 0, 0, version));
+    }
+
+    /** Lets routers know the targets for as long as streams last. */
+    private static void runWithTargets(Fleet f, List<Target> targets) {
+        for (long t = 0; t <= VersionHistory.STREAM_LIFETIME_MILLIS; t += 1_000) {
+            f.mRouters.forEach(r -> r.mVersions.onTargets(targets, f.mNow, f.mNow));
+            f.run(1_000);
+        }
+    }
+
+    /**
+     * Guards against a router that takes the version which others have inferred for a caller that
+     * names no request as the origin of all such streams, also once a second version is there.
+     */
+    @Test
+    void inferenceForAnUnnamedStreamIsNotRemembered() {
+        Fleet f = new Fleet(5, 1, 0);
+        f.mRecords.mConnected = true;
+        runWithTargets(f, List.of(target("a", "v1")));
+        f.router(2).restart();
+        long unnamed = StreamOrigins.streamOf("");
+        f.router(2).mOrigins.find(unnamed, POOL, r -> {});
+        f.run(1_000);
+        List<Target> both = List.of(target("a", "v1"), target("b", "v2"));
+        f.mRouters.forEach(r -> r.mVersions.onTargets(both, f.mNow, f.mNow));
+        f.run(5_000);
+        for (Router r : f.mRouters) {
+            List<StreamOrigins.Result> results = new ArrayList<>();
+            r.mOrigins.find(unnamed, POOL, results::add);
+            f.run(REPLY_TIMEOUT_MILLIS);
+            assertThat(results).containsExactly(StreamOrigins.Result.none());
+        }
+    }
+
     /**
      * Guards against a stream that goes on at another software than the one that began it, whatever
      * is lost or restarts, and against a cost per stream that grows with the number of routers.
@@ -677,7 +713,7 @@
                     .mOrigins
                     .find(stream, POOL, r -> r.software().ifPresent(s -> found.add(stream)));
         }
-        f.run(REPLY_TIMEOUT_MILLIS);
+        f.run(2 * REPLY_TIMEOUT_MILLIS); // a lost reply leads to a read here
         return (double) found.size() / streams.size();
     }
 
@@ -744,4 +780,29 @@
             assertThat(f.mWritesBeforeEnd).isAtMost((long) MAX_WRITES_PER_SECOND * (SECONDS + 1));
         }
     }
+
+    /** Guards against rows in the store for ever that others wrote while a recorder was cut off. */
+    @Test
+    void rowsOfSubstitutesAreRemoved() {
+        Fleet f = connectedFleet(5);
+        SplittableRandom random = new SplittableRandom(5);
+        Router recorder = firstRecorder(f);
+        Router other = f.router(recorder.mIndex == 0 ? 1 : 0);
+        recorder.mRunning = false;
+        beginStreams(f, other, random, 10);
+        Set<String> rows = Set.copyOf(f.mRecords.part(0).keySet());
+        assertThat(rows).isNotEmpty();
+        recorder.mRunning = true;
+        beginStreams(f, other, random, 120);
+        Set<String> left = new HashSet<>(f.mRecords.part(0).keySet());
+        left.retainAll(rows);
+        assertThat(left).isEmpty();
+    }
+
+    private static void beginStreams(Fleet f, Router at, SplittableRandom random, int seconds) {
+        for (int i = 0; i < 20 * seconds; i++) {
+            at.begin(random.nextLong(), 1);
+            f.run(50);
+        }
+    }
 }
