Look for a stream's record before inferring its version after a start

What callers saw: a route leads to another pool, within 30 s all routers end and come back, and a stream that began in the earlier pool is continued in the new one.

Cause: the history of routes begins with the first configuration that a router reads, so that after a start every route counts as unchanged, while the version record of the pool lets it infer at once. The stream is on record, since routers report what they can no longer infer when a route changes, but inference went first.

Ruled out: no inference for 30 s after a start, since streams that began while there was one version are on no record and would all be refused; a record of the changes of routes in the store, which would close the case of a change while all routers are down too, but is no small change.

Change: for 30 s after its first configuration a router that could infer asks the keepers and the recorder for the stream first, and infers if no one knows it; it infers nothing for others.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/FleetState.java
@@ -59,6 +59,7 @@
     private final Supplier<Map<String, Long>> mCalls;
     private final Supplier<Map<String, Long>> mUnusable;
     private final GuardedSteps mSteps;
+    private boolean mHadConfig;
     private final PeerGroup mPeerGroup;
     private final PeerClient mPeerClient;
     private final StoreEra mEra = new StoreEra();
@@ -182,6 +183,10 @@
     }
 
     private void planRows() {
+        if (!mHadConfig && config().isKnown()) {
+            mHadConfig = true;
+            mStreamOrigins.onFirstConfig();
+        }
         mSteps.run("shard_tables", () -> mShardTables.plan(config()));
         versions().onRecordsCurrent(mRowFollower.currentAt());
         mSteps.run("version_records", mVersionRecords::plan);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamOrigins.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamOrigins.java
@@ -58,6 +58,7 @@
     private final StreamRecorder mRecorder;
     private final UnconfirmedStreams mUnconfirmed;
     private final StreamOriginTable mTable = StreamOriginTable.create();
+    private long mStartedAt;
     private final Map<Long, Query> mQueries = new HashMap<>();
     private long mReports;
     private long mQuestions;
@@ -143,6 +144,7 @@
         mClock = clock;
         mNetwork = network;
         mVersions = versions;
+        mStartedAt = clock.nowMillis();
         mUnconfirmed = new UnconfirmedStreams(timer, clock, network, this::recordHere);
         StreamConfirmations confirmations =
                 new StreamConfirmations(timer, network, mUnconfirmed::onRecorded);
@@ -156,6 +158,11 @@
         return new StreamOrigins(timer, context.clock(), context.peers(), versions, records);
     }
 
+    /** Called when the first configuration is known, with which the history of routes begins. */
+    void onFirstConfig() {
+        mStartedAt = mClock.nowMillis();
+    }
+
     /** Returns the hash that identifies a stream. */
     public static long streamOf(String requestId) {
         return Hashes.of(requestId);
@@ -209,7 +216,7 @@
      */
     public void find(long stream, String pool, Consumer<Result> listener) {
         if (stream == UNNAMED) {
-            listener.accept(infer(pool).orElse(Result.none()));
+            listener.accept(infer(pool).filter(r -> !hasJustStarted()).orElse(Result.none()));
             return;
         }
         Optional<Result> known = findHere(stream, pool);
@@ -217,6 +224,27 @@
             listener.accept(known.get());
             return;
         }
+        if (hasJustStarted() && infer(pool).isPresent()) {
+            ask(stream, "", r -> listener.accept(r.software().isPresent() ? r : inferOrNone(pool)));
+            return;
+        }
+        ask(stream, pool, listener);
+    }
+
+    private Result inferOrNone(String pool) {
+        return infer(pool).orElse(Result.none());
+    }
+
+    /**
+     * Returns whether the streams that can be resumed may have begun before this router knew the
+     * routes. One of them may have led to another pool then: its streams were recorded when it
+     * changed, so that records are looked for before anything is inferred.
+     */
+    private boolean hasJustStarted() {
+        return mClock.nowMillis() - mStartedAt < VersionHistory.STREAM_LIFETIME_MILLIS;
+    }
+
+    private void ask(long stream, String pool, Consumer<Result> listener) {
         Query pending = mQueries.get(stream);
         if (pending != null) {
             pending.mListeners.add(listener);
@@ -262,7 +290,7 @@
             return Optional.of(Result.of(known.get().software(), Source.KNOWN));
         }
         Optional<Result> inferred = infer(pool);
-        if (inferred.isPresent()) {
+        if (inferred.isPresent() && !hasJustStarted()) {
             return inferred;
         }
         return mRecorder.find(stream).map(o -> Result.of(o.software(), Source.RECORD));
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/StreamOriginsTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/StreamOriginsTest.java
@@ -469,6 +469,38 @@
         }
     }
 
+    /**
+     * Guards against a router that has just started and infers the origin of a stream from the pool
+     * of its route, while that route has led to another pool shortly before.
+     */
+    @Test
+    void recordGoesBeforeInferenceAfterAStart() {
+        for (int n : List.of(5, 23, 340)) {
+            Fleet f = new Fleet(n, 1, 0);
+            f.mRecords.mConnected = true;
+            List<Target> targets = List.of(target("a", "v1"));
+            long earlierPool = 70;
+            f.router(0).mOrigins.record(new StreamOrigin(7, earlierPool));
+            f.router(0).mOrigins.report(new StreamOrigin(7, earlierPool)); // its route has changed
+            f.run(1_000);
+            f.mRouters.forEach(Router::kill);
+            f.mRouters.forEach(Router::restart);
+            for (Router r : f.mRouters) {
+                long v1 = targets.get(0).softwareKey();
+                r.mVersions.onRecord(POOL, Map.of(v1, f.mNow - 60_000), f.mNow - 60_000, f.mNow);
+                r.mVersions.onTargets(targets, f.mNow, f.mNow);
+                r.mVersions.onRecordsCurrent(f.mNow);
+            }
+            for (long stream : List.of(7L, 8L)) {
+                List<StreamOrigins.Result> results = new ArrayList<>();
+                f.router(1).mOrigins.find(stream, POOL, results::add);
+                f.run(REPLY_TIMEOUT_MILLIS);
+                long expected = stream == 7 ? earlierPool : targets.get(0).softwareKey();
+                assertThat(results.get(0).software().getAsLong()).isEqualTo(expected);
+            }
+        }
+    }
+
     /**
      * Guards against a stream that goes on at another software than the one that began it, whatever
      * is lost or restarts, and against a cost per stream that grows with the number of routers.
