Let a coordinator that starts wait for earlier grants of a quota

Cause: an allocator without reports took the whole quota for free. A router reports only its own demand, so the first reports do not show what others hold. Routers fell back to even shares 3 s after their own last grant, up to a second (the time between reports) before another's grant ended.

Ruled out: granting a quarter of the even share while waiting, which takes from a busy router what it may still use; telling the coordinator what is held, which changes the messages and does not show what silent routers hold.

Change: an allocator grants nothing for 3 s after its first report and then counts reporters with the even share that they may use.

Not mended: a router whose reports alone are lost uses its even share while others hold grants; two coordinators at a time. A team that was quiet for 3 s is granted a rate 3 s later than before.

--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/router/QuotaLimiter.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/router/QuotaLimiter.java
@@ -1,6 +1,7 @@
 package org.forkseam.daemon.router;
 
 import org.forkseam.core.admit.QuotaAllocator;
+import org.forkseam.core.admit.QuotaShare;
 import org.forkseam.core.admit.TokenBucket;
 import org.forkseam.core.cfg.TeamSpec;
 import org.forkseam.core.route.TargetView;
@@ -29,7 +30,6 @@
  * lifetime of a grant, the router uses its even share.
  */
 final class QuotaLimiter implements PacketListener {
-    private static final long REPORT_INTERVAL_MILLIS = 1_000;
     private static final double DEMAND_SMOOTHING = 0.5;
     private static final double REPORT_THRESHOLD = 0.5;
 
@@ -54,7 +54,9 @@
         int routers = Math.max(1, mFleet.view().routerCount());
         double evenShare = team.requestsPerSecond() / routers;
         t.mBucket.reconfigure(
-                t.rate(evenShare, nowMillis), Math.max(1, team.burst() / routers), nowMillis);
+                t.mShare.rate(evenShare, nowMillis),
+                Math.max(1, team.burst() / routers),
+                nowMillis);
         return t.mBucket.tryTake(nowMillis)
                 ? OptionalLong.empty()
                 : OptionalLong.of(t.mBucket.waitMillis(nowMillis));
@@ -65,7 +67,7 @@
         int routers = Math.max(1, mFleet.view().routerCount());
         for (Map.Entry<String, TeamState> e : mTeams.entrySet()) {
             TeamState t = e.getValue();
-            if (nowMillis - t.mReportedAtMillis < REPORT_INTERVAL_MILLIS) {
+            if (nowMillis - t.mReportedAtMillis < QuotaAllocator.REPORT_INTERVAL_MILLIS) {
                 continue;
             }
             double seconds = (nowMillis - t.mReportedAtMillis) / 1000.0;
@@ -76,13 +78,13 @@
             if (t.mDemand > evenShare * QuotaAllocator.UNREPORTED_SHARE * REPORT_THRESHOLD) {
                 report(e.getKey(), t, nowMillis);
             } else {
-                t.mReportingSinceMillis = Long.MAX_VALUE;
+                t.mShare.onLowDemand();
             }
         }
     }
 
     private void report(String team, TeamState t, long nowMillis) {
-        t.mReportingSinceMillis = Math.min(t.mReportingSinceMillis, nowMillis);
+        t.mShare.onReport(nowMillis);
         QuotaReport r = QuotaReport.newBuilder().setTeam(team).setDemand(t.mDemand).build();
         coordinator(team, nowMillis)
                 .ifPresent(
@@ -109,8 +111,7 @@
             QuotaGrant g = p.getQuotaGrant();
             TeamState t = mTeams.get(g.getTeam());
             if (t != null) {
-                t.mGrantedRate = g.getRate();
-                t.mGrantedAtMillis = System.currentTimeMillis();
+                t.mShare.onGrant(g.getRate(), System.currentTimeMillis());
             }
         }
     }
@@ -120,30 +121,17 @@
         // Grants expire on their own.
     }
 
-    /** Demand and granted rate of one team on this router. */
+    /** Demand and share of one team on this router. */
     private static final class TeamState {
         private final TokenBucket mBucket;
+        private final QuotaShare mShare = QuotaShare.unreported();
         private int mArrivals;
         private double mDemand;
         private long mReportedAtMillis;
-        private long mReportingSinceMillis = Long.MAX_VALUE;
-        private double mGrantedRate;
-        private long mGrantedAtMillis;
 
         TeamState(long nowMillis) {
             mBucket = TokenBucket.of(1, Double.MAX_VALUE, nowMillis);
             mReportedAtMillis = nowMillis;
         }
-
-        double rate(double evenShare, long nowMillis) {
-            if (nowMillis - mGrantedAtMillis <= QuotaAllocator.GRANT_MILLIS) {
-                return mGrantedRate;
-            }
-            long since = Math.max(mReportingSinceMillis, mGrantedAtMillis);
-            boolean unanswered =
-                    mReportingSinceMillis != Long.MAX_VALUE
-                            && nowMillis - since > QuotaAllocator.GRANT_MILLIS;
-            return unanswered ? evenShare : evenShare * QuotaAllocator.UNREPORTED_SHARE;
-        }
     }
 }
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/QuotaCoordinator.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/QuotaCoordinator.java
@@ -12,6 +12,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
 
 /**
  * Splits the quotas of heavily used teams that hash to this target among the routers that report
@@ -36,7 +37,7 @@
         }
         QuotaReport r = p.getQuotaReport();
         double quota = mFleet.config().team(r.getTeam()).requestsPerSecond();
-        double rate =
+        OptionalDouble rate =
                 mSharesByTeam
                         .computeIfAbsent(r.getTeam(), k -> new QuotaAllocator())
                         .report(
@@ -45,8 +46,12 @@
                                 quota,
                                 mFleet.view().routerCount(),
                                 mClock.nowMillis());
-        QuotaGrant g = QuotaGrant.newBuilder().setTeam(r.getTeam()).setRate(rate).build();
-        link.send(mSync.packet().setQuotaGrant(g).build());
+        rate.ifPresent(
+                granted -> {
+                    QuotaGrant g =
+                            QuotaGrant.newBuilder().setTeam(r.getTeam()).setRate(granted).build();
+                    link.send(mSync.packet().setQuotaGrant(g).build());
+                });
     }
 
     @Override
