Count a prompt's placement once when its query is sent again

Callers saw nothing of it: the dump of a coordinator counted four placements where three prompts had been placed (PromptPlacementTest, once beside load).

Cause: a query without a reply within 8 ms is sent again. The ledger gives the same reply and places once, but the counter of the coordinator counted each query that it received. Beside load a reply takes longer than 8 ms.

Ruled out: a second placement of the same prompt (a request asks once, and its engines had one request each in the failed run, which the test checks before the count); other routers' queries (each place() sends one query and at most one repeat).

Change: only a query without an earlier reply counts as coordinated; others count as answered_again.

Figures: in virtual time, a lost reply and a reply after 10 ms gave 2 coordinated placements of 1 before, 1 after (PromptPlacementsTest, both tests failed first). The run of the log was not repeated with its delay: the log holds no datagrams, so that the late reply is concluded from the code.

--- a/forkseam-core/src/main/java/org/forkseam/core/place/PlacementLedger.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/place/PlacementLedger.java
@@ -63,6 +63,11 @@
         return reply;
     }
 
+    /** Returns whether a query is one that was sent again, whose reply stands. */
+    public boolean hasReplied(long queryId) {
+        return mReplies.containsKey(queryId);
+    }
+
     private PlacementReply select(
             PlacementQuery q, Collection<Integer> engines, double tokensPerMilli, long now) {
         mBacklogs.entrySet().removeIf(e -> dropUnless(engines, e.getKey(), e.getValue()));
--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PromptPlacements.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PromptPlacements.java
@@ -65,6 +65,7 @@
     private long mTimedOut;
     private long mNotQueried;
     private long mCoordinated;
+    private long mAnsweredAgain;
     private long mMalformed;
 
     /** Sends messages to other routers. */
@@ -310,12 +311,16 @@
         if (home.isEmpty() || !home.get().entry().pool().equals(q.pool())) {
             return new PlacementReply(q.id(), PlacementReply.NONE, PlacementReply.NONE);
         }
-        mCoordinated++;
         long now = mClock.nowMillis();
         int group = groupOf(home.get());
         Coordinated c =
                 mLedgers.computeIfAbsent(new Group(q.pool(), group), g -> new Coordinated());
         c.mUsedAt = now;
+        if (c.mLedger.hasReplied(q.id())) {
+            mAnsweredAgain++;
+        } else {
+            mCoordinated++;
+        }
         return c.mLedger.place(q, engines(q.pool(), group, now), tokensPerMilli(q.pool()), now);
     }
 
@@ -357,6 +362,7 @@
         m.put("timed_out", mTimedOut);
         m.put("not_queried", mNotQueried);
         m.put("coordinated", mCoordinated);
+        m.put("answered_again", mAnsweredAgain);
         m.put("malformed", mMalformed);
         m.put("pending", mQueries.size());
         Map<String, Object> ledgers = new LinkedHashMap<>();
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PromptPlacementsTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PromptPlacementsTest.java
@@ -30,12 +30,12 @@
     private static final String POOL = "p";
     private static final int ROUTERS = 5;
     private static final int ENGINES = 6;
-    private static final long DELAY_MILLIS = 1;
 
     private final PriorityQueue<Event> mEvents = new PriorityQueue<>();
     private final List<Router> mRouters = new ArrayList<>();
     private final TargetDirectory mTargets = TargetDirectory.create();
     private long mNow = 1_000_000;
+    private long mDelayMillis = 1;
     private long mSequence;
     private long mMessages;
 
@@ -87,7 +87,7 @@
                 return;
             }
             Router to = mRouters.get(address.getPort() - 1);
-            after(DELAY_MILLIS, () -> to.receive(m, address(mIndex)));
+            after(mDelayMillis, () -> to.receive(m, address(mIndex)));
         }
 
         private void receive(PeerMessage m, InetSocketAddress sender) {
@@ -234,6 +234,29 @@
         assertThat(inPrefill()).isEqualTo(1);
     }
 
+    /** Guards against counting a placement twice whose reply was lost or came after 8 ms. */
+    @Test
+    void queryThatIsSentAgainCountsAsOnePlacement() {
+        coordinator().mDropped = 1;
+        other().place(100, engine(0));
+        assertThat(coordinator().count("coordinated")).isEqualTo(1);
+        assertThat(coordinator().count("answered_again")).isEqualTo(1);
+    }
+
+    /**
+     * The coordinator receives both queries and the first reply arrives after the second query was
+     * sent.
+     */
+    @Test
+    void queryThatIsAnsweredLateCountsAsOnePlacement() {
+        mDelayMillis = 5;
+        assertThat(other().place(100, engine(0)).source())
+                .isEqualTo(PromptPlacements.Source.PLACED);
+        run(100);
+        assertThat(other().count("repeated")).isEqualTo(1);
+        assertThat(coordinator().count("coordinated")).isEqualTo(1);
+    }
+
     @Test
     void failedCoordinatorDelaysOneRequestAndIsNotQueriedForASecond() {
         coordinator().mRunning = false;
