Let only the reader of a restored store write shared rows at once

Cause: who reads the rows for all writes first, and the others wait for it. This role ends for everyone in an outage of 2.5 s. The router that then reads the restored rows first need not have the lowest address, and only news of a preceding router ends the role of others. Each router therefore took itself for the reader, and wrote within 0 to 100 ms; those that had not yet heard of the first write added theirs. The store took only one of them.

Ruled out: two routers that both read all rows, as the three moments of shared_rows_returned in the log are 4 ms apart, 0.8 s after the new era was known: one router other than the first read after its head start and told the others; the registrations, of which each router makes one (the next is 5 s later).

Change: for 2.5 s after a restore, the router that has read the rows for the others is the reader, and those that were told are not, whatever their addresses; a preceding router that has also read them takes precedence. The delays of the others are unchanged, so that they still write if the reader does not.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowFollower.java
@@ -45,6 +45,8 @@
     private OptionalLong mStoreClockOffset = OptionalLong.empty();
     private int mClockEra;
     private boolean mCatchingUp;
+    private boolean mReadRestore;
+    private long mRestoreReaderUntil = Long.MIN_VALUE / 2;
     private long mCurrentAt = Long.MIN_VALUE / 2;
 
     /**
@@ -69,9 +71,13 @@
         return mHasRead || peers().hasRouters();
     }
 
-    /** Returns whether this router reads the rows for all, as far as it knows. */
+    /**
+     * Returns whether this router reads the rows for all, as far as it knows, and thus writes first
+     * what several would write. After a restore, that is the router that read the rows for the
+     * others: an outage ends all roles, so that each router would write at once.
+     */
     boolean isReader() {
-        return mRole.isReader(now());
+        return now() < mRestoreReaderUntil ? mReadRestore : mRole.isReader(now());
     }
 
     /**
@@ -261,6 +267,8 @@
         updateStoreClock(m.readTime());
         if (peers().isPrecededBy(sender)) {
             mRole.onReaderHeard(now());
+            boolean alsoReadRestore = m.until().isLaterEraThan(m.since());
+            mReadRestore &= !alsoReadRestore;
         }
         onMessageApplied(m);
         if (!m.until().isAfter(mPosition) || !mHasRead) {
@@ -357,6 +365,8 @@
             StorePosition since, StorePosition until, List<SharedRow> differing, boolean isReader) {
         mTable.advanceEra(since, until.era(), differing).forEach(this::onRowChanged);
         mPosition = until;
+        mReadRestore = isReader;
+        mRestoreReaderUntil = now() + READER_TIMEOUT_MILLIS;
         Event.always("shared_rows_returned")
                 .with("since", since)
                 .with("now", until)
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/RowFollowerTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/RowFollowerTest.java
@@ -32,6 +32,10 @@
 
     private static final InetSocketAddress OWN = new InetSocketAddress("127.0.0.1", 5_000);
     private static final InetSocketAddress OTHER = new InetSocketAddress("127.0.0.1", 6_000);
+    private static final InetSocketAddress PRECEDING = new InetSocketAddress("127.0.0.1", 4_000);
+
+    /** Longer than the time for which a router writes first. */
+    private static final long ROLE_MILLIS = 2_600;
 
     /** Store whose long polls never complete and whose history is unavailable. */
     private static final class FakeSharedRows implements SharedRows {
@@ -40,18 +44,20 @@
         private volatile int mReads;
         private volatile int mPuts;
         private volatile int mFailingPuts;
+        private volatile StorePosition mPosition = StorePosition.of(0, 10);
+        private volatile boolean mPollsFail;
 
         @Override
         public CompletableFuture<Versioned<List<SharedRow>>> readAll() {
             mReads++;
             return CompletableFuture.completedFuture(
-                    new Versioned<>(StorePosition.of(0, 10), 1, List.copyOf(mAll)));
+                    new Versioned<>(mPosition, 1, List.copyOf(mAll)));
         }
 
         @Override
         public CompletableFuture<Versioned<List<SharedRow>>> awaitChanges(
                 StorePosition since, long waitMillis) {
-            if (waitMillis == 0) {
+            if (waitMillis == 0 || mPollsFail) {
                 return CompletableFuture.failedFuture(SourceException.historyCompacted());
             }
             mLongPolls++;
@@ -124,6 +130,16 @@
         return new SharedRow(key, value, StorePosition.of(0, revision));
     }
 
+    private boolean isReader() throws Exception {
+        return mLoop.submit(mFollower::isReader).get(AWAIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns a message of a router that has read the rows after a restore, for all. */
+    private static PeerMessage.Rows restored() {
+        return new PeerMessage.Rows(
+                1, StorePosition.of(0, 10), StorePosition.of(1, 4), true, List.of());
+    }
+
     private static PeerMessage.Rows message(long since, long until, SharedRow... rows) {
         return new PeerMessage.Rows(
                 1, StorePosition.of(0, since), StorePosition.of(0, until), true, List.of(rows));
@@ -188,4 +204,39 @@
         }
         assertThat(mRows.mPuts).isEqualTo(3);
     }
+
+    /**
+     * Guards against a write by each router after an outage, in which all have lost the reader: the
+     * reader of the restored rows need not be the one with the lowest address.
+     */
+    @Test
+    void routerToldOfARestoreDoesNotWriteFirst() throws Exception {
+        start();
+        assertThat(isReader()).isTrue();
+        onLoop(() -> mFollower.onMessage(restored(), OTHER));
+        assertThat(isReader()).isFalse();
+        Thread.sleep(ROLE_MILLIS);
+        assertThat(isReader()).isTrue();
+    }
+
+    /** Guards against a restore after which no router writes first. */
+    @Test
+    void routerThatReadARestoreWritesFirst() throws Exception {
+        mRows.mPollsFail = true;
+        start();
+        mRows.mPosition = StorePosition.of(1, 4);
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(AWAIT_MILLIS);
+        while (mLoop.submit(() -> mFollower.position("x").era()).get() < 1) {
+            assertThat(System.nanoTime()).isLessThan(deadline);
+            Thread.sleep(5);
+        }
+        assertThat(isReader()).isTrue();
+        PeerMessage.Rows read =
+                new PeerMessage.Rows(
+                        1, StorePosition.of(1, 4), StorePosition.of(1, 5), true, List.of());
+        onLoop(() -> mFollower.onMessage(read, PRECEDING));
+        assertThat(isReader()).isTrue();
+        onLoop(() -> mFollower.onMessage(restored(), PRECEDING));
+        assertThat(isReader()).isFalse();
+    }
 }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/WarmPoolsTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/WarmPoolsTest.java
@@ -29,6 +29,9 @@
     /** Longer than a scheduled write takes, with the delay of a router that is not the reader. */
     private static final long WRITE_MILLIS = 1_500;
 
+    /** Longer than a write of the reader takes, shorter than the delay of the others. */
+    private static final long FIRST_WRITE_MILLIS = 150;
+
     private final MultiThreadIoEventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop mLoop = (EventLoop) mGroup.next();
@@ -41,6 +44,7 @@
         private final PlacementPolicy mPolicy = PlacementPolicy.create();
         private final RowFollower mFollower;
         private final WarmPools mPools;
+        private final StoreEra mEra = new StoreEra();
 
         Router(int index) throws Exception {
             SplittableRandom random = new SplittableRandom(index);
@@ -58,7 +62,7 @@
                             random,
                             peers,
                             new StoreHealth(() -> {}),
-                            new StoreEra(),
+                            mEra,
                             () -> true);
             mFollower = new RowFollower(context, mRows, this::onRow);
             mPools = new WarmPools(context, mRows, mFollower, mPolicy);
@@ -89,6 +93,20 @@
                     });
         }
 
+        /** Receives the rows that another router has read for all after a restore. */
+        void restored(InetSocketAddress reader) throws Exception {
+            PeerMessage.Rows read =
+                    new PeerMessage.Rows(
+                            now(), StorePosition.of(0, 1), StorePosition.of(1, 1), true, List.of());
+            onLoop(
+                    () -> {
+                        mEra.accepts(read.until(), "test");
+                        mFollower.onMessage(read, reader);
+                        return null;
+                    });
+            assertThat(onLoop(mFollower::isCurrent)).isTrue();
+        }
+
         boolean isCold() throws Exception {
             return onLoop(() -> mPolicy.isCold(POOL, now()));
         }
@@ -157,6 +175,25 @@
         assertThat(mRows.writes()).isAtMost(2);
     }
 
+    /**
+     * Guards against a write by each router after an outage in which all have lost the reader, when
+     * another than the one with the lowest address reads the restored rows for all.
+     */
+    @Test
+    void onlyTheReaderOfARestoreWritesAtOnce() throws Exception {
+        Router lowest = router();
+        Router reader = router();
+        lowest.request();
+        reader.request();
+        mSkippedMillis += WARM_UP_MILLIS;
+        lowest.restored(new InetSocketAddress("127.0.0.1", 5_001));
+        lowest.plan();
+        reader.plan();
+        awaitRow();
+        Thread.sleep(FIRST_WRITE_MILLIS);
+        assertThat(mRows.writes()).isEqualTo(1);
+    }
+
     @Test
     void routerThatStartsLaterReadsTheRow() throws Exception {
         mRows.put("warm/" + POOL, "1");
