Do not let a late response vouch for a target

A response without a length counted as whole, and its caller got 200, although its target had ended: a late second response was taken for the response to the health check that decides it.

Cause: a response that names a target counted, also if it named a request that the connection had carried; and a connection carried several health checks, which have no id, so that a second response to an earlier one passed. Both were sent before the target's end.

Ruled out: sending an id with health checks (targets need not return it), and rejecting each response that names a request (a target may make up an id for a health check).

A response with the id of an earlier request of the connection is skipped, and a connection carries one health check at most; a target that is checked repeatedly costs a connection for each check.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/LivenessCheck.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/LivenessCheck.java
@@ -54,6 +54,12 @@
 
     private static final int MAX_BODY_BYTES = 16 << 10;
 
+    /**
+     * Stands for the id of health checks, which have none, so that no connection carries two: a
+     * late second response to the first one would count as the response to the second.
+     */
+    private static final String CHECK_ID = "health check";
+
     /**
      * Time for which the end of a target is remembered: its connections break at about the same
      * time, and one that starts again may have the same id.
@@ -140,7 +146,7 @@
             if (mNeedsNewConnection || healthPath(mTarget).isEmpty()) {
                 pool().openReplacement(this);
             } else {
-                pool().acquire(MAX_IDLE_MILLIS, this);
+                pool().acquireFor(CHECK_ID, MAX_IDLE_MILLIS, this);
             }
         }
 
@@ -158,6 +164,7 @@
             }
             mConnection = c;
             mBody.clear();
+            c.addRequestId(CHECK_ID);
             c.send(request(path), this::isOwnResponse, this);
             mContext.readBarrier().schedule(RESPONSE_MILLIS, () -> replace(c));
         }
@@ -169,6 +176,9 @@
          */
         private boolean isOwnResponse(HttpResponse head) {
             ResponseHead h = mContext.headerCodec().decode(head);
+            if (h.requestIds().stream().anyMatch(mConnection::hasCarried)) {
+                return false;
+            }
             if (h.targetId().isPresent()) {
                 return true;
             }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
@@ -100,6 +100,7 @@
     private volatile String mBeforeHealth = "";
     private volatile String mAfterHealth = "";
     private final AtomicReference<String> mBeforeNextHealth = new AtomicReference<>("");
+    private volatile boolean mRepeatsHealth;
     private volatile boolean mFrozen;
 
     private ScriptedServer(Script script) throws IOException {
@@ -157,6 +158,13 @@
         mBeforeNextHealth.set(text);
     }
 
+    /**
+     * Sends, before the response to a health check, the one before it on its connection once more.
+     */
+    public void repeatHealth() {
+        mRepeatsHealth = true;
+    }
+
     /** Accepts connections from now on without reading from them. */
     public void freeze() {
         mFrozen = true;
@@ -184,6 +192,7 @@
     private void serve(Socket s) {
         try (s) {
             Connection connection = new Connection(s);
+            String lastHealth = "";
             while (true) {
                 if (mFrozen) {
                     Thread.sleep(Long.MAX_VALUE);
@@ -192,7 +201,9 @@
                 if (r.head().startsWith("GET " + HEALTH_PATH + " ")) {
                     String surplus = mBeforeHealth + mBeforeNextHealth.getAndSet("");
                     String own = health(r.header("Expect-Instance"));
-                    connection.send(surplus + own + mAfterHealth);
+                    connection.send(
+                            (mRepeatsHealth ? lastHealth : "") + surplus + own + mAfterHealth);
+                    lastHealth = own;
                     continue;
                 }
                 mReceived.add(r);
