Test chunks that start again or are malformed, and more sound heads

Held, and was not tested: a chunked response that breaks off and starts again on its connection, cut at each byte; sizes of chunks that readers understand differently (signs, 0x, blanks, more than 32 bits), chunks that do not end where their size does.

Sound and accepted on one connection: version 1.0 with keep-alive, a head of 20 KB with bytes from 0x80, an empty reason, blanks around values, a transfer coding in other case, a chunk size with zeros and extension.

--- a/forkseam-direct/src/test/java/org/forkseam/direct/io/ResponseBoundaryMatrixTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/io/ResponseBoundaryMatrixTest.java
@@ -166,6 +166,61 @@
         }
     }
 
+    /** Guards against a body made of a part of a chunked response and of its repetition. */
+    @ParameterizedTest
+    @ValueSource(strings = {"5\r\nfirst\r\n6\r\nsecond\r\n", "200\r\n", "40;x=y\r\n"})
+    void chunkedResponseThatStartsAgainIsNoSuccess(String start) {
+        int missing = start.startsWith("5") ? 0 : start.startsWith("2") ? 0x200 : 0x40;
+        String chunks = start + "a".repeat(missing) + (missing == 0 ? "" : "\r\n");
+        String head = head("200 OK", "r1", "Transfer-Encoding: chunked");
+        String whole = head + chunks + "0\r\n\r\n";
+        // With this cut, the bytes are those of a sound response: the chunk ends where the second
+        // head does, and the blank line ends the chunk.
+        int sound = head.length() + start.length() + missing - (head.length() - 2);
+        for (int cut = 1; cut < whole.length(); cut++) {
+            if (missing > 0 && cut == sound) {
+                continue;
+            }
+            for (Segments segments : Segments.values()) {
+                EmbeddedExchange e = new EmbeddedExchange();
+                e.send(HttpMethod.GET);
+                e.receive(whole.substring(0, cut) + whole, segments);
+                e.closeByServer();
+                assertWithMessage("byte %s, %s", cut, segments)
+                        .that(e.lastEnd())
+                        .isEqualTo("MALFORMED");
+            }
+        }
+    }
+
+    /** Guards against sizes and ends of chunks that readers understand differently. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "100000004\r\nbody\r\n0\r\n\r\n",
+                "100000000\r\n\r\n",
+                "80000000\r\nbody",
+                "-4\r\nbody\r\n0\r\n\r\n",
+                "+4\r\nbody\r\n0\r\n\r\n",
+                "0x4\r\nbody\r\n0\r\n\r\n",
+                "4 4\r\nbody\r\n0\r\n\r\n",
+                "\r\nbody\r\n0\r\n\r\n",
+                ";x\r\nbody\r\n0\r\n\r\n",
+                "4\r\nbodyrest\r\n0\r\n\r\n",
+                "4\r\nbody0\r\n\r\n",
+                "4\r\nbody\n0\r\n\r\n",
+                "4\r\nbo\r\n0\r\n\r\n",
+            })
+    void malformedChunkMakesTheResponseMalformed(String chunks) {
+        for (Segments segments : Segments.values()) {
+            EmbeddedExchange e = new EmbeddedExchange();
+            e.send(HttpMethod.GET);
+            e.receive(head("200 OK", "r1", "Transfer-Encoding: chunked") + chunks, segments);
+            assertThat(e.lastEnd()).isEqualTo("MALFORMED");
+            assertThat(e.isOpen()).isFalse();
+        }
+    }
+
     // ---------------------------------------------------------------- methods
 
     /** Guards against the body of a late response being read as the response to a HEAD. */
@@ -390,6 +445,29 @@
                 "\r\n" + head("404 Not Found: there is none", "r" + ++n, "Content-Length: 0"),
                 "END 404",
                 segments);
+        exchange(
+                e,
+                "GET",
+                "HTTP/1.0 200 OK\r\nRequest-Id: r"
+                        + ++n
+                        + "\r\nConnection: keep-alive\r\nContent-Length: 4\r\n\r\nbody",
+                "END 200 body",
+                segments);
+        exchange(
+                e,
+                "GET",
+                ok(++n, "X-Long: " + "\u00fc".repeat(20_000) + "\r\ntransfer-encoding: Chunked")
+                        + "00A ; x\r\n0123456789\r\n000\r\n\r\n",
+                "END 200 0123456789",
+                segments);
+        exchange(
+                e,
+                "GET",
+                head("200 \u00e9\t(none) ", "r" + ++n, "X:  \t y \t\r\nContent-Length:\t4 ")
+                        + "body",
+                "END 200 body",
+                segments);
+        exchange(e, "GET", head("200 ", "r" + ++n, "Content-Length: 00"), "END 200", segments);
         for (SurplusKind k : SurplusKind.values()) {
             assertThat(e.surplus(k)).isEqualTo(0);
         }
