Keep surplus bytes of an engine out of the next response of a sidecar

Cause: ActiveJ's client joins what it has read on a kept connection to whatever follows, and pairs responses with requests by their order.

Ruled out: a connection for each request, which costs a connect each and reuses no sound connection. A check in front of ActiveJ's client was not tried.

Change: HttpTargetClient sends its requests on the connections of forkseam-direct. HttpNetwork owns their network thread and is the one place where tasks pass between it and the event loop. Reading is held up while 64 KB of a body wait for the event loop; close aborts the exchange; only a failed connect counts as not sent, now including one that times out. A response with the id of an earlier request on its connection is skipped.

Also: Accept-Encoding is not forwarded, since the new client does not decompress and sidecars read events and token counts; ActiveJ's client decompressed a gzip body and kept its Content-Encoding. Fields and paths that HTTP cannot carry fail the request; a CRLF in a value went out as it was. The logger of the direct router steps back where a program brings a logback.xml of its own. The connect timeout stays 1 s.

HttpTargetClientTest: 5 of 11 cases fail before, 0 of 11 after. Its client is now stopped after each test; what it asserts is unchanged. FailureTest 13, DrainTest 4: no failure after.

Not told: a whole surplus response without an id that arrives after the next request was sent.

--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/Daemon.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/Daemon.java
@@ -74,6 +74,7 @@
     private final ConfigStore mConfigStore;
     private Router mRouter;
     private Sidecar mSidecar;
+    private Optional<HttpTargetClient> mTargetClient = Optional.empty();
     private AdminApi mAdmin;
     private Thread mThread;
 
@@ -151,6 +152,11 @@
         registerCounter("forkseam.wire.rejected.peers", WireCounters::rejectedPeers);
         registerCounter("forkseam.wire.malformed", WireCounters::malformed);
         mRegistry.gauge("forkseam.config.version", mFleet, f -> f.config().version());
+        if (!mSettings.isRouter()) {
+            mTargetClient =
+                    Optional.of(HttpTargetClient.of(mLoop, mSettings.text(SettingKey.TARGET_URL)));
+            mServiceManager.add(mTargetClient.get()); // stops last, after the links
+        }
         mServiceManager.add(mLinks).add(mSync);
         mServiceManager.add(ClaimSweeper.of(mLoop, mClock, mFleet, mTable, host()));
         mServiceManager.add(rollouts());
@@ -160,7 +166,7 @@
             mServiceManager.add(mRouter);
             decisions = mRouter.decisions();
         } else {
-            mSidecar = sidecar();
+            mSidecar = sidecar(mTargetClient.orElseThrow());
             mServiceManager.add(mSidecar);
             decisions = mSidecar.decisions();
         }
@@ -198,7 +204,7 @@
         return Router.of(mLoop, mClock, config, dependencies, mRandom);
     }
 
-    private Sidecar sidecar() {
+    private Sidecar sidecar(HttpTargetClient client) {
         String target = mSettings.text(SettingKey.TARGET_NAME);
         Sidecar.Config config =
                 new Sidecar.Config(
@@ -211,7 +217,7 @@
                         mFleet,
                         mSync,
                         mLinks,
-                        HttpTargetClient.of(mLoop, mSettings.text(SettingKey.TARGET_URL)),
+                        client,
                         ClaimManager.of(ClaimStore.of(mLoop, mTable), target, mIncarnation),
                         cacheLifetimeEstimator(),
                         SidecarCounters.of(mRegistry));
@@ -301,6 +307,7 @@
                 });
         mLinks.stop().join();
         mThread.join();
+        mTargetClient.ifPresent(c -> c.stop().join());
     }
 
     /** Closes all links to other daemons to simulate a network failure; for tests. */
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/HttpTargetClient.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/HttpTargetClient.java
@@ -1,34 +1,36 @@
 package org.forkseam.daemon.sidecar;
 
-import io.activej.bytebuf.ByteBuf;
-import io.activej.csp.supplier.ChannelSupplier;
 import io.activej.eventloop.Eventloop;
-import io.activej.http.HttpClient;
-import io.activej.http.HttpHeaders;
-import io.activej.http.HttpMethod;
-import io.activej.http.HttpRequest;
-import io.activej.http.HttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
 
-import org.forkseam.platform.http.IpLiteralDnsClient;
+import org.forkseam.core.kernel.Service;
+import org.forkseam.platform.http.HttpExchange;
+import org.forkseam.platform.http.HttpNetwork;
+import org.forkseam.platform.http.HttpUrl;
 import org.forkseam.wire.proto.Header;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * Sends requests over HTTP to an engine or a plain service. Streams of engines are resumed and
  * cancelled through the endpoints of the OpenAI Responses API. Not thread-safe; used on the event
- * loop.
+ * loop, apart from the lifecycle methods.
  *
  * @since 0.1
  */
-public final class HttpTargetClient implements TargetClient {
+public final class HttpTargetClient implements TargetClient, Service {
+    /** Name of the service. */
+    public static final String NAME = "target-client";
+
     /** Header that carries the request's id to the target. */
     public static final String REQUEST_ID_HEADER = "X-Request-Id";
 
@@ -37,50 +39,98 @@
             Set.of("connection", "content-length", "host", "keep-alive", "transfer-encoding");
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration KEEP_ALIVE_TIMEOUT = Duration.ofSeconds(5);
+    private static final byte[] NO_BODY = new byte[0];
 
-    private final HttpClient mClient;
-    private final String mUrl;
+    private final Eventloop mLoop;
+    private final HttpNetwork mNetwork;
+    private final HttpUrl mUrl;
 
     private HttpTargetClient(Eventloop loop, String url) {
-        mUrl = url;
-        mClient =
-                HttpClient.builder(loop, new IpLiteralDnsClient())
-                        .withConnectTimeout(CONNECT_TIMEOUT)
-                        .withKeepAliveTimeout(KEEP_ALIVE_TIMEOUT)
-                        .build();
+        mLoop = loop;
+        mUrl = HttpUrl.parse(url);
+        mNetwork = HttpNetwork.of(loop, NAME, CONNECT_TIMEOUT, KEEP_ALIVE_TIMEOUT);
     }
 
-    /** Creates a client for the target at a base URL. */
+    /**
+     * Creates a client for the target at a base URL.
+     *
+     * @throws IllegalArgumentException if the URL does not have the form http://IP:PORT/PATH
+     */
     public static HttpTargetClient of(Eventloop loop, String url) {
         return new HttpTargetClient(loop, url);
     }
 
+    // ---------------------------------------------------------------- lifecycle
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        return CompletableFuture.completedFuture(null);
+    }
+
+    /**
+     * Closes all connections without telling the listeners, so that a stream that outlasts the
+     * drain is not ended as failed: a restarted sidecar resumes it.
+     */
+    @Override
+    public CompletableFuture<Void> stop() {
+        return mNetwork.stop();
+    }
+
+    @Override
+    public Object dump() {
+        return Map.of("connections_opened", mNetwork.openedCount());
+    }
+
+    // ---------------------------------------------------------------- requests
+
     @Override
     public Call send(Request r, Listener listener) {
-        HttpRequest.Builder b =
-                HttpRequest.builder(HttpMethod.valueOf(r.method()), mUrl + r.path())
-                        .withHeader(HttpHeaders.of(REQUEST_ID_HEADER), r.id());
-        for (Header h : r.headers()) {
-            if (!isHopByHopHeader(h.getName())) {
-                b.withHeader(HttpHeaders.of(h.getName()), h.getValue());
+        FullHttpRequest request;
+        try {
+            request = mUrl.request(HttpMethod.valueOf(r.method()), r.path(), r.body());
+            request.headers().set(REQUEST_ID_HEADER, r.id());
+            for (Header h : r.headers()) {
+                if (!isHopByHopHeader(h.getName()) && !isAcceptEncoding(h.getName())) {
+                    request.headers().add(h.getName(), h.getValue());
+                }
             }
+        } catch (IllegalArgumentException e) {
+            return new InvalidCall(listener).fail(e);
         }
-        if (r.body().length > 0) {
-            b.withBody(r.body());
-        }
-        return new HttpCall(listener).start(b.build());
+        return start(request, r.id(), listener);
     }
 
     @Override
     public Call resume(String id, long fromSequence, Listener listener) {
-        String url = mUrl + "/v1/responses/" + id + "?stream=true&starting_after=" + fromSequence;
-        return new HttpCall(listener).start(HttpRequest.get(url).build());
+        String path = "/v1/responses/" + id + "?stream=true&starting_after=" + fromSequence;
+        FullHttpRequest request;
+        try {
+            request = mUrl.request(HttpMethod.GET, path, NO_BODY);
+        } catch (IllegalArgumentException e) {
+            return new InvalidCall(listener).fail(e);
+        }
+        return start(request, "", listener);
     }
 
     @Override
     public void cancel(String id) {
-        mClient.request(HttpRequest.post(mUrl + "/v1/responses/" + id + "/cancel").build())
-                .whenException(e -> LOG.debug("event=cancel-failed id={}", id, e));
+        String path = "/v1/responses/" + id + "/cancel";
+        try {
+            FullHttpRequest request = mUrl.request(HttpMethod.POST, path, NO_BODY);
+            mNetwork.send(mUrl, request, "", new CancelListener(id));
+        } catch (IllegalArgumentException e) {
+            LOG.debug("event=cancel-failed id={}", id, e);
+        }
+    }
+
+    private Call start(FullHttpRequest request, String id, Listener listener) {
+        HttpExchange e = mNetwork.send(mUrl, request, id, new ResponseAdapter(listener));
+        return new HttpCall(e);
     }
 
     /** Returns whether a header is hop-by-hop and must not be forwarded. */
@@ -88,114 +138,107 @@
         return HOP_BY_HOP_HEADERS.contains(name.toLowerCase(Locale.ROOT));
     }
 
-    /** One HTTP request and its response. */
-    private final class HttpCall implements Call {
+    /** Events and token counts are read from responses, which must not be compressed for that. */
+    private static boolean isAcceptEncoding(String name) {
+        return name.equalsIgnoreCase("accept-encoding");
+    }
+
+    /** A request on the network. */
+    private record HttpCall(HttpExchange exchange) implements Call {
+        @Override
+        public void setReading(boolean reading) {
+            exchange.setReading(reading);
+        }
+
+        @Override
+        public void close() {
+            exchange.close();
+        }
+    }
+
+    /** A request that cannot be sent over HTTP. */
+    private final class InvalidCall implements Call {
         private final Listener mListener;
-        private ChannelSupplier<ByteBuf> mBody;
-        private boolean mReading = true;
-        private boolean mReadPending;
         private boolean mClosed;
 
-        HttpCall(Listener listener) {
+        InvalidCall(Listener listener) {
             mListener = listener;
         }
 
-        HttpCall start(HttpRequest request) {
-            mClient.request(request).subscribe(this::onResponse);
+        /** Fails the call, as another sidecar could not send the request either. */
+        Call fail(Exception cause) {
+            mLoop.post(
+                    () -> {
+                        if (!mClosed) {
+                            mListener.onFailed(cause);
+                        }
+                    });
             return this;
         }
 
-        private void onResponse(HttpResponse response, Exception e) {
-            if (e != null) {
-                fail(e);
-                return;
-            }
-            mBody = response.takeBodyStream();
-            if (mClosed) {
-                mBody.close();
-                return;
-            }
-            mListener.onHead(response.getCode(), endToEndHeaders(response));
-            read();
-        }
+        @Override
+        public void setReading(boolean reading) {}
 
-        private void fail(Exception e) {
-            if (mClosed) {
-                return;
-            }
+        @Override
+        public void close() {
             mClosed = true;
-            // Only a failure to connect proves that the target did not receive the request.
-            if (mBody == null && isConnectFailure(e)) {
-                mListener.onNotSent(e);
-            } else {
-                mListener.onFailed(e);
-            }
         }
+    }
 
-        private static boolean isConnectFailure(Throwable e) {
-            for (Throwable t = e; t != null; t = t.getCause()) {
-                if (t instanceof ConnectException) {
-                    return true;
+    /** Passes a response on without its hop-by-hop headers. */
+    private record ResponseAdapter(Listener listener) implements HttpExchange.Listener {
+        @Override
+        public void onHead(int status, List<Map.Entry<String, String>> headers) {
+            List<Header> endToEnd = new ArrayList<>();
+            for (Map.Entry<String, String> h : headers) {
+                if (!isHopByHopHeader(h.getKey())) {
+                    endToEnd.add(
+                            Header.newBuilder().setName(h.getKey()).setValue(h.getValue()).build());
                 }
             }
-            return false;
+            listener.onHead(status, endToEnd);
         }
 
-        private void read() {
-            if (mBody == null || mReadPending || !mReading || mClosed) {
-                return;
-            }
-            mReadPending = true;
-            mBody.get().subscribe(this::onBuffer);
+        @Override
+        public void onData(byte[] data) {
+            listener.onData(data);
         }
 
-        private void onBuffer(ByteBuf buf, Exception e) {
-            mReadPending = false;
-            if (mClosed) {
-                if (buf != null) {
-                    buf.recycle();
-                }
-                return;
-            }
-            if (e != null) {
-                fail(e);
-                return;
-            }
-            if (buf == null) {
-                mClosed = true;
-                mListener.onEnd();
-                return;
-            }
-            mListener.onData(buf.asArray());
-            read();
+        @Override
+        public void onEnd() {
+            listener.onEnd();
         }
 
         @Override
-        public void setReading(boolean reading) {
-            mReading = reading;
-            read();
+        public void onNotSent(Exception cause) {
+            listener.onNotSent(cause);
         }
 
         @Override
-        public void close() {
-            mClosed = true;
-            if (mBody != null) {
-                mBody.close();
-            }
+        public void onFailed(Exception cause) {
+            listener.onFailed(cause);
         }
     }
 
-    private static List<Header> endToEndHeaders(HttpResponse response) {
-        List<Header> out = new ArrayList<>();
-        response.getHeaders()
-                .forEach(
-                        e -> {
-                            String name = e.getKey().toString();
-                            if (!isHopByHopHeader(name)) {
-                                String value = e.getValue().toString();
-                                out.add(Header.newBuilder().setName(name).setValue(value).build());
-                            }
-                        });
-        return out;
+    /** Ignores the response to a cancellation. */
+    private record CancelListener(String id) implements HttpExchange.Listener {
+        @Override
+        public void onHead(int status, List<Map.Entry<String, String>> headers) {}
+
+        @Override
+        public void onData(byte[] data) {}
+
+        @Override
+        public void onEnd() {}
+
+        @Override
+        public void onNotSent(Exception cause) {
+            LOG.debug("event=cancel-failed id={}", id, cause);
+        }
+
+        @Override
+        public void onFailed(Exception cause) {
+            LOG.debug("event=cancel-failed id={}", id, cause);
+        }
     }
 }
--- a/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Sidecar.java
+++ b/forkseam-daemon/src/main/java/org/forkseam/daemon/sidecar/Sidecar.java
@@ -146,7 +146,7 @@
 
     @Override
     public List<String> dependencies() {
-        return List.of(LinkManager.NAME, FleetSync.NAME);
+        return List.of(LinkManager.NAME, FleetSync.NAME, HttpTargetClient.NAME);
     }
 
     @Override
--- a/forkseam-daemon/src/test/java/org/forkseam/daemon/sidecar/HttpTargetClientTest.java
+++ b/forkseam-daemon/src/test/java/org/forkseam/daemon/sidecar/HttpTargetClientTest.java
@@ -32,6 +32,7 @@
     private final Eventloop mLoop = Eventloop.builder().build();
     private ServerSocket mListener;
     private Thread mLoopThread;
+    private HttpTargetClient mClient;
 
     @BeforeEach
     void start() throws IOException {
@@ -43,7 +44,8 @@
     }
 
     @AfterEach
-    void stop() throws IOException {
+    void stop() throws Exception {
+        mClient.stop().get(WAIT_SECONDS, TimeUnit.SECONDS);
         mListener.close();
         mLoop.keepAlive(false);
         mLoop.execute(mLoop::breakEventloop);
@@ -116,8 +118,10 @@
         return end.get(WAIT_SECONDS, TimeUnit.SECONDS);
     }
 
-    private TargetClient client() {
-        return HttpTargetClient.of(mLoop, "http://127.0.0.1:" + mListener.getLocalPort());
+    private TargetClient client() throws Exception {
+        mClient = HttpTargetClient.of(mLoop, "http://127.0.0.1:" + mListener.getLocalPort());
+        mClient.start().get(WAIT_SECONDS, TimeUnit.SECONDS);
+        return mClient;
     }
 
     /** Guards against a part of a surplus head in the read of a response joining the next one. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/Connector.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/Connector.java
@@ -30,10 +30,12 @@
     private static final int MAX_HEADER_BYTES = 32_768;
 
     private final Bootstrap mBootstrap;
+    private final int mConnectTimeoutMillis;
     private final SurplusCounts mSurplus = SurplusCounts.create();
     private long mOpenedCount;
 
-    private Connector(EventLoopGroup group) {
+    private Connector(EventLoopGroup group, int connectTimeoutMillis) {
+        mConnectTimeoutMillis = connectTimeoutMillis;
         mBootstrap =
                 new Bootstrap()
                         .group(group)
@@ -45,7 +47,12 @@
 
     /** Creates a connector. */
     public static Connector of(EventLoopGroup group) {
-        return new Connector(group);
+        return new Connector(group, CONNECT_TIMEOUT_MILLIS);
+    }
+
+    /** Creates a connector with another connect timeout. */
+    public static Connector of(EventLoopGroup group, int connectTimeoutMillis) {
+        return new Connector(group, connectTimeoutMillis);
     }
 
     /** Returns the number of connections opened since the start. */
@@ -70,7 +77,7 @@
         ChannelFuture connecting = b.connect(Addresses.parse(address));
         Future<?> timeout =
                 ReadBarrier.of(connecting.channel().eventLoop())
-                        .schedule(CONNECT_TIMEOUT_MILLIS, () -> abort(connecting));
+                        .schedule(mConnectTimeoutMillis, () -> abort(connecting));
         connecting.addListener(
                 f -> {
                     timeout.cancel(false);
@@ -97,9 +104,9 @@
                 : ExchangeFailure.UNREACHABLE;
     }
 
-    private static String detailOf(Throwable cause) {
+    private String detailOf(Throwable cause) {
         return cause instanceof ClosedChannelException
-                ? "not established within " + CONNECT_TIMEOUT_MILLIS + " ms"
+                ? "not established within " + mConnectTimeoutMillis + " ms"
                 : String.valueOf(cause);
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
@@ -85,7 +85,7 @@
     }
 
     /** Returns whether one of the last requests on this connection had the given id. */
-    boolean hasCarried(String requestId) {
+    public boolean hasCarried(String requestId) {
         return mRequestIds.contains(requestId);
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/log/LogSetup.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/log/LogSetup.java
@@ -16,11 +16,17 @@
  * @since 0.2
  */
 public final class LogSetup extends ContextAwareBase implements Configurator {
+    private static final String CONFIGURATION_FILE = "/logback.xml";
+
     /** Creates the configurator; called by Logback. */
     public LogSetup() {}
 
     @Override
     public ExecutionStatus configure(LoggerContext context) {
+        // Daemons use this module's connections, but bring a configuration of their own.
+        if (LogSetup.class.getResource(CONFIGURATION_FILE) != null) {
+            return ExecutionStatus.INVOKE_NEXT_IF_ANY;
+        }
         // Registering a listener keeps Logback from loading its own status printer.
         context.getStatusManager().add(new StderrStatusListener());
         JsonLineEncoder encoder = new JsonLineEncoder();
