--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/Connector.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/Connector.java
@@ -32,11 +32,14 @@
 
     private final EventLoop mLoop;
     private final Bootstrap mBootstrap;
+    private final int mConnectTimeoutMillis;
     private final SurplusCounts mSurplus = SurplusCounts.create();
     private long mOpenedCount;
 
-    private Connector(EventLoop loop, ChannelFactory<? extends Channel> channels) {
+    private Connector(
+            EventLoop loop, int connectTimeoutMillis, ChannelFactory<? extends Channel> channels) {
         mLoop = loop;
+        mConnectTimeoutMillis = connectTimeoutMillis;
         mBootstrap =
                 new Bootstrap()
                         .group(loop)
@@ -48,12 +51,17 @@
 
     /** Creates a connector. */
     public static Connector of(EventLoop loop) {
-        return of(loop, NioSocketChannel::new);
+        return of(loop, CONNECT_TIMEOUT_MILLIS);
+    }
+
+    /** Creates a connector with another connect timeout. */
+    public static Connector of(EventLoop loop, int connectTimeoutMillis) {
+        return new Connector(loop, connectTimeoutMillis, NioSocketChannel::new);
     }
 
     /** Creates a connector that creates channels by a factory. */
     static Connector of(EventLoop loop, ChannelFactory<? extends Channel> channels) {
-        return new Connector(loop, channels);
+        return new Connector(loop, CONNECT_TIMEOUT_MILLIS, channels);
     }
 
     /** Returns the number of connections opened since the start. */
@@ -87,7 +95,7 @@
             return;
         }
         Future<?> timeout =
-                ReadBarrier.of(mLoop).schedule(CONNECT_TIMEOUT_MILLIS, () -> abort(connecting));
+                ReadBarrier.of(mLoop).schedule(mConnectTimeoutMillis, () -> abort(connecting));
         connecting.addListener(
                 f -> {
                     timeout.cancel(false);
@@ -114,9 +122,9 @@
                 : ExchangeFailure.UNREACHABLE;
     }
 
-    private static String detailOf(Throwable cause) {
+    private String detailOf(Throwable cause) {
         return cause instanceof ClosedChannelException
-                ? "not established within " + CONNECT_TIMEOUT_MILLIS + " ms"
+                ? "not established within " + mConnectTimeoutMillis + " ms"
                 : String.valueOf(cause);
     }
 
