--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamOrigins.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/StreamOrigins.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.know;
 
 import org.forkseam.core.member.VersionHistory;
+import org.forkseam.core.share.StreamKeepers;
 import org.forkseam.core.share.StreamOrigin;
 import org.forkseam.core.share.StreamOriginTable;
 import org.forkseam.core.util.Clock;
@@ -38,18 +39,26 @@
      */
     static final int ASKED = KEEPERS + 1;
 
+    /** Routers that may record a stream: its recorder, and two in its place. */
+    static final int RECORDERS = 3;
+
     /** Maximum wait for replies; a running router replies within a few milliseconds. */
     private static final long REPLY_TIMEOUT_MILLIS = 250;
 
     /** Maximum wait for a read of the store after that; a caller can request the stream anew. */
     private static final long READ_TIMEOUT_MILLIS = 400;
 
+    /** Stream of a caller that does not name the request which began it. */
+    private static final long UNNAMED = streamOf("");
+
     private final Timer mTimer;
     private final Clock mClock;
     private final Network mNetwork;
     private final VersionHistory mVersions;
     private final StreamRecorder mRecorder;
+    private final UnconfirmedStreams mUnconfirmed;
     private final StreamOriginTable mTable = StreamOriginTable.create();
+    private long mStartedAt;
     private final Map<Long, Query> mQueries = new HashMap<>();
     private long mReports;
     private long mQuestions;
@@ -65,8 +74,15 @@
         /** Returns the number of partitions of the streams. */
         int partitions();
 
-        /** Returns whether this router records a stream in the store. */
-        boolean isRecorder(long stream);
+        /**
+         * Returns whether this router records a partition in the store.
+         *
+         * @param rank 0 for the recorder, more for those that record in its place
+         */
+        boolean isRecorder(int partition, int rank);
+
+        /** Sends a message to such a router, unless there is none or it is this one. */
+        void sendToRecorder(int partition, int rank, PeerMessage m);
 
         /** Sends a message to the router at an address. */
         void sendTo(InetSocketAddress address, PeerMessage m);
@@ -128,7 +144,11 @@
         mClock = clock;
         mNetwork = network;
         mVersions = versions;
-        mRecorder = new StreamRecorder(timer, clock, records, network::partitions);
+        mStartedAt = clock.nowMillis();
+        mUnconfirmed = new UnconfirmedStreams(timer, clock, network, this::recordHere);
+        StreamConfirmations confirmations =
+                new StreamConfirmations(timer, network, mUnconfirmed::onRecorded);
+        mRecorder = new StreamRecorder(timer, clock, records, network, confirmations);
     }
 
     /** Creates a table of streams that begin at this router or are reported to it. */
@@ -138,6 +158,11 @@
         return new StreamOrigins(timer, context.clock(), context.peers(), versions, records);
     }
 
+    /** Called when the first configuration is known, with which the history of routes begins. */
+    void onFirstConfig() {
+        mStartedAt = mClock.nowMillis();
+    }
+
     /** Returns the hash that identifies a stream. */
     public static long streamOf(String requestId) {
         return Hashes.of(requestId);
@@ -160,34 +185,66 @@
      * whether any is known.
      */
     public boolean report(StreamOrigin origin) {
-        recordIfResponsible(origin);
+        mUnconfirmed.add(origin);
+        if (isRecorder(origin.stream())) {
+            mRecorder.add(origin, Optional.empty());
+        }
         PeerMessage m = new PeerMessage.StreamOrigins(List.of(origin));
         int sent = mNetwork.sendToKeepers(origin.stream(), KEEPERS, m);
         mReports += sent;
         return sent > 0;
     }
 
-    private void recordIfResponsible(StreamOrigin origin) {
-        if (mNetwork.isRecorder(origin.stream())) {
-            mRecorder.add(origin);
-        }
+    private boolean isRecorder(long stream) {
+        return mNetwork.isRecorder(StreamKeepers.partitionOf(stream, mNetwork.partitions()), 0);
+    }
+
+    /** Records streams in place of their recorder, which has not confirmed them to this router. */
+    private void recordHere(List<StreamOrigin> origins) {
+        origins.forEach(o -> mRecorder.add(o, Optional.empty()));
     }
 
     // ---------------------------------------------------------------- streams that are resumed
 
     /**
-     * Finds the software that began a stream.
+     * Finds the software that began a stream. That of a stream without a name is only inferred, and
+     * only here: such streams have nothing in common, so that no router can remember an answer.
      *
      * @param pool the pool that certainly began it; empty if only an origin that a router knows may
      *     be used
      * @param listener receives the result, before this method returns if it is known here
      */
     public void find(long stream, String pool, Consumer<Result> listener) {
+        if (stream == UNNAMED) {
+            listener.accept(infer(pool).filter(r -> !hasJustStarted()).orElse(Result.none()));
+            return;
+        }
         Optional<Result> known = findHere(stream, pool);
         if (known.isPresent()) {
             listener.accept(known.get());
             return;
         }
+        if (hasJustStarted() && infer(pool).isPresent()) {
+            ask(stream, "", r -> listener.accept(r.software().isPresent() ? r : inferOrNone(pool)));
+            return;
+        }
+        ask(stream, pool, listener);
+    }
+
+    private Result inferOrNone(String pool) {
+        return infer(pool).orElse(Result.none());
+    }
+
+    /**
+     * Returns whether the streams that can be resumed may have begun before this router knew the
+     * routes. One of them may have led to another pool then: its streams were recorded when it
+     * changed, so that records are looked for before anything is inferred.
+     */
+    private boolean hasJustStarted() {
+        return mClock.nowMillis() - mStartedAt < VersionHistory.STREAM_LIFETIME_MILLIS;
+    }
+
+    private void ask(long stream, String pool, Consumer<Result> listener) {
         Query pending = mQueries.get(stream);
         if (pending != null) {
             pending.mListeners.add(listener);
@@ -199,7 +256,7 @@
         Query q = new Query(asked);
         q.mListeners.add(listener);
         mQueries.put(stream, q);
-        if (mNetwork.isRecorder(stream)) {
+        if (isRecorder(stream)) {
             q.mRepliesLeft++;
             mRecorder.read(stream, () -> onReply(findRecorded(stream), Source.RECORD, q));
         }
@@ -232,13 +289,20 @@
         if (known.isPresent()) {
             return Optional.of(Result.of(known.get().software(), Source.KNOWN));
         }
-        OptionalLong sole = mVersions.soleVersion(pool, now);
-        if (sole.isPresent()) {
-            return Optional.of(Result.of(sole.getAsLong(), Source.SOLE_VERSION));
+        Optional<Result> inferred = infer(pool);
+        if (inferred.isPresent() && !hasJustStarted()) {
+            return inferred;
         }
         return mRecorder.find(stream).map(o -> Result.of(o.software(), Source.RECORD));
     }
 
+    private Optional<Result> infer(String pool) {
+        OptionalLong sole = mVersions.soleVersion(pool, mClock.nowMillis());
+        return sole.isPresent()
+                ? Optional.of(Result.of(sole.getAsLong(), Source.SOLE_VERSION))
+                : Optional.empty();
+    }
+
     private void finish(long stream, Query q, Result result) {
         if (mQueries.remove(stream, q)) {
             q.mListeners.forEach(l -> l.accept(result));
@@ -249,7 +313,7 @@
 
     void onQuery(PeerMessage.StreamQuery query, InetSocketAddress sender) {
         Optional<Result> known = findHere(query.stream(), query.pool());
-        if (known.isPresent() || !mNetwork.isRecorder(query.stream())) {
+        if (known.isPresent() || !isRecorder(query.stream())) {
             reply(query.stream(), known.orElse(Result.none()), sender);
             return;
         }
@@ -263,11 +327,11 @@
         mNetwork.sendTo(sender, new PeerMessage.StreamOrigins(List.of(o)));
     }
 
-    void onOrigins(PeerMessage.StreamOrigins m) {
+    void onOrigins(PeerMessage.StreamOrigins m, InetSocketAddress sender) {
         for (StreamOrigin o : m.origins()) {
             if (o.isKnown()) {
                 record(o);
-                recordIfResponsible(o);
+                recordIfResponsible(o, sender);
             }
             Query q = mQueries.get(o.stream());
             if (q != null) {
@@ -276,6 +340,24 @@
         }
     }
 
+    private void recordIfResponsible(StreamOrigin origin, InetSocketAddress reporter) {
+        if (isRecorder(origin.stream())) {
+            mRecorder.add(origin, Optional.of(reporter));
+        }
+    }
+
+    /** Records streams in place of their recorder, which has not confirmed them to the sender. */
+    void onRecordRequest(PeerMessage.RecordStreams m, InetSocketAddress sender) {
+        for (StreamOrigin o : m.origins()) {
+            record(o);
+            mRecorder.add(o, Optional.of(sender));
+        }
+    }
+
+    void onRecorded(PeerMessage.StreamsRecorded m) {
+        m.streams().forEach(mUnconfirmed::onRecorded);
+    }
+
     private void onReply(StreamOrigin o, Source source, Query q) {
         q.mRepliesLeft--;
         if (o.isKnown()) {
@@ -292,6 +374,8 @@
         m.put("reported", mReports);
         m.put("asked", mQuestions);
         m.put("pending", (long) mQueries.size());
+        m.put("unconfirmed", (long) mUnconfirmed.size());
+        m.put("record_requests", mUnconfirmed.requested());
         m.putAll(mRecorder.dump());
         return m;
     }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
@@ -107,6 +107,7 @@
     private volatile String mBeforeHealth = "";
     private volatile String mAfterHealth = "";
     private final AtomicReference<String> mBeforeNextHealth = new AtomicReference<>("");
+    private volatile boolean mRepeatsHealth;
     private volatile boolean mFrozen;
     private volatile Consumer<Runnable> mStarter = ScriptedServer::startThread;
     private volatile IntConsumer mOnAccept = peerPort -> {};
@@ -182,6 +183,13 @@
         mOnHealthCheck = onHealthCheck;
     }
 
+    /**
+     * Sends, before the response to a health check, the one before it on its connection once more.
+     */
+    public void repeatHealth() {
+        mRepeatsHealth = true;
+    }
+
     /** Accepts connections from now on without reading from them. */
     public void freeze() {
         mFrozen = true;
@@ -214,6 +222,7 @@
     private void serve(Socket s) {
         try (s) {
             Connection connection = new Connection(s);
+            String lastHealth = "";
             while (true) {
                 if (mFrozen) {
                     Thread.sleep(Long.MAX_VALUE);
@@ -223,7 +232,9 @@
                     mOnHealthCheck.accept(s.getPort());
                     String surplus = mBeforeHealth + mBeforeNextHealth.getAndSet("");
                     String own = health(r.header("Expect-Instance"));
-                    connection.send(surplus + own + mAfterHealth);
+                    connection.send(
+                            (mRepeatsHealth ? lastHealth : "") + surplus + own + mAfterHealth);
+                    lastHealth = own;
                     continue;
                 }
                 mReceived.add(r);
