--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/QuarantineTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/QuarantineTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.nio.NioIoHandler;
 
 import org.forkseam.core.crash.CrashEvent;
+import org.forkseam.core.crash.Fingerprint;
 import org.forkseam.core.crash.QuarantineTerm;
 import org.forkseam.core.crash.RequestFingerprints;
 import org.forkseam.core.store.StorePosition;
@@ -21,6 +22,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
@@ -38,6 +40,9 @@
     private static final long TEN_MINUTES = 600_000;
     private static final int MAX_ROWS = 256;
 
+    /** Longer than the time within which crashes count once for a part. */
+    private static final long CRASH_INTERVAL_MILLIS = 40;
+
     /** The clocks of the store and the routers are unrelated. */
     private static final long STORE_CLOCK_OFFSET_MILLIS = 7_000_000;
 
@@ -428,4 +433,37 @@
         assertThat(mRouter.verdict(CONTENT)).isEqualTo(Verdict.SERVE);
         assertThat(call(() -> mRouter.mQuarantine.dump())).isEmpty();
     }
+
+    // ---------------------------------------------------------------- prompt parts
+
+    /**
+     * Guards against refusing a harmless part for its whole term: two parts had the same five
+     * crashes, but the row of the other one stood there before the last two were reported.
+     */
+    @Test
+    void partWithTheSameCrashesIsTriedIfTheOtherRowCameFirst() throws Exception {
+        long harmless = Fingerprint.ofPart("harmless");
+        long bad = Fingerprint.ofPart("bad");
+        for (int crash = 1; crash <= 3; crash++) {
+            reportCrash(crash, harmless, bad);
+        }
+        QuarantineTerm term =
+                QuarantineTerm.initial(bad, List.of(harmless), STORE_CLOCK_OFFSET_MILLIS);
+        onLoop(() -> mRows.put("quarantine/" + Hashes.toHex(bad), term.format()));
+        reportCrash(4, harmless, bad);
+        reportCrash(5, harmless, bad);
+        await(() -> mRouter.mQuarantine.refused() == 2);
+        Set<Long> request = Set.of(harmless, Fingerprint.ofPart("other"));
+        assertThat(call(() -> mRouter.mQuarantine.verdict(harmless, request)))
+                .isEqualTo(Verdict.TRY);
+    }
+
+    /** Reports a crash with two parts in flight, as another router does. */
+    private void reportCrash(int crash, long a, long b) throws Exception {
+        long at = STORE_CLOCK_OFFSET_MILLIS + CRASH_INTERVAL_MILLIS * crash;
+        onLoop(
+                () ->
+                        mRouter.mQuarantine.apply(
+                                List.of(CrashEvent.ofPart(a, at), CrashEvent.ofPart(b, at))));
+    }
 }
