Let scripted targets queue as many connections as tests open

What was seen: SlowReadersTest got "not run" once, as connects to both targets were not established within 300 ms. Connector lets its timeout run only after a pass of the event loop, so that these connects were open in the kernel for that long, however late the loop was.

Cause of such connects: a scripted target listened with Java's default queue of 50, and the test opens 120 and more at each. Targets listen with a queue that the system limits, 4,096 here. No bound of a test changes.

--- a/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/ScriptedServer.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -88,6 +89,9 @@
         }
     }
 
+    /** Exceeds the connections that tests open at once; the default of 50 does not. */
+    private static final int BACKLOG = 1_024;
+
     private final ServerSocket mListener = new ServerSocket();
     private final Script mScript;
     private final Thread mAcceptor;
@@ -101,10 +105,11 @@
     private volatile String mAfterHealth = "";
     private final AtomicReference<String> mBeforeNextHealth = new AtomicReference<>("");
     private volatile boolean mFrozen;
+    private volatile CountDownLatch mAccepting = new CountDownLatch(0);
 
     private ScriptedServer(Script script) throws IOException {
         mScript = script;
-        mListener.bind(new InetSocketAddress("127.0.0.1", 0));
+        mListener.bind(new InetSocketAddress("127.0.0.1", 0), BACKLOG);
         mAcceptor = new Thread(this::accept, "scripted");
         mAcceptor.setDaemon(true);
         mAcceptor.start();
@@ -162,6 +167,16 @@
         mFrozen = true;
     }
 
+    /** Accepts at most one more connection until {@link #resumeAccepting}. */
+    public void pauseAccepting() {
+        mAccepting = new CountDownLatch(1);
+    }
+
+    /** Ends {@link #pauseAccepting}. */
+    public void resumeAccepting() {
+        mAccepting.countDown();
+    }
+
     /** Returns the received requests in order. */
     public List<Request> requests() {
         return mReceived;
@@ -170,6 +185,7 @@
     private void accept() {
         while (!mListener.isClosed()) {
             try {
+                mAccepting.await();
                 Socket s = mListener.accept();
                 mOpen.add(s);
                 Thread t = new Thread(() -> serve(s), "scripted-connection");
@@ -177,6 +193,9 @@
                 t.start();
             } catch (IOException e) {
                 return; // closed by the test
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
             }
         }
     }
