--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerSnapshot.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/PeerSnapshot.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.know;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
 import org.forkseam.core.member.Evacuations;
@@ -46,6 +47,9 @@
 
     private static final int NO_PRIORITY = -1;
 
+    /** Field of the limits that routers of datagram format 7 and before do not send. */
+    private static final String KEY_REQUIRED = "keyRequired";
+
     /**
      * Evacuated failure domains.
      *
@@ -116,7 +120,22 @@
         }
     }
 
+    /**
+     * Reads a snapshot.
+     *
+     * @throws IOException if it is malformed, or of a router that does not tell a configuration
+     *     without teams from one whose teams have no keys
+     */
     static PeerSnapshot read(byte[] json) throws IOException {
-        return new ObjectMapper().readValue(json, PeerSnapshot.class);
+        ObjectMapper mapper = new ObjectMapper();
+        JsonNode doc = mapper.readTree(json);
+        PeerSnapshot s = mapper.treeToValue(doc, PeerSnapshot.class);
+        if (s == null || s.teams() == null || s.limits() == null) {
+            throw new IOException("peer snapshot lacks teams or limits");
+        }
+        if (!doc.path("limits").path(KEY_REQUIRED).isBoolean() && s.teams().isEmpty()) {
+            throw new IOException("peer snapshot does not tell whether keys are required");
+        }
+        return s;
     }
 }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/know/PeerCodecTest.java
@@ -175,6 +175,16 @@
         }
     }
 
+    /** Guards against a change of an earlier format, which lacks whether keys are required. */
+    @Test
+    void messagesOfOtherFormatsAreRejected() {
+        for (int format = 0; format < PeerCodec.FORMAT + 3; format++) {
+            ByteBuf b = written(CONFIG);
+            b.setByte(0, format);
+            assertThat(PeerCodec.read(b).isPresent()).isEqualTo(format == PeerCodec.FORMAT);
+        }
+    }
+
     @Test
     void truncatedAndOverlongMessagesAreRejected() {
         for (PeerMessage m :
