Send calls to platform services on connections that tell surplus bytes

What callers saw: sidecars and routers of the wire path. A 102 before the response counted as the response.

Cause: the client library pairs bytes with calls in order, keeps a partial head for the next call, and takes interim responses for final ones.

Ruled out: checks of the response in PlatformHttpClient; the library does not tell which bytes a response consists of.

Bodies above 16 MB fail the call and close its connection. The unused method header() is gone.

--- a/forkseam-platform/src/main/java/org/forkseam/platform/http/PlatformHttpClient.java
+++ b/forkseam-platform/src/main/java/org/forkseam/platform/http/PlatformHttpClient.java
@@ -2,27 +2,25 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 
-import io.activej.bytebuf.ByteBuf;
 import io.activej.eventloop.Eventloop;
-import io.activej.http.HttpClient;
-import io.activej.http.HttpHeader;
-import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
-import io.activej.http.HttpRequest;
-import io.activej.http.HttpResponse;
-import io.activej.promise.Promise;
-import io.activej.reactor.schedule.ScheduledRunnable;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 
 import org.forkseam.platform.PlatformException;
 
+import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /**
  * HTTP client for platform services that buffers complete responses.
  *
- * <p>Not thread-safe: must be used on its event loop, where futures complete.
+ * <p>Sends its requests on an {@link HttpNetwork}, whose connections tell bytes that belong to no
+ * due response. Not thread-safe: must be used on its event loop, where futures complete.
  *
  * @since 0.1
  */
@@ -30,10 +28,14 @@
     /** Shared JSON mapper; thread-safe. */
     public static final ObjectMapper JSON = new ObjectMapper();
 
-    private static final int MAX_BODY_BYTES = 16 << 20;
+    /** Exceeds the largest object of the services, 8 MB. */
+    static final int MAX_BODY_BYTES = 16 << 20;
+
     private static final int MIN_SERVER_ERROR_STATUS = 500;
+    private static final String THREAD = "platform-http";
+    private static final Duration MAX_IDLE = Duration.ofSeconds(30);
 
-    private final HttpClient mClient;
+    private final HttpNetwork mNetwork;
     private final Eventloop mEventloop;
     private final long mTimeoutMillis;
 
@@ -47,87 +49,137 @@
      */
     public record Response(int status, byte[] body, long retryAfterMillis, String etag) {}
 
-    private PlatformHttpClient(HttpClient client, Eventloop eventloop, long timeoutMillis) {
-        mClient = client;
+    private PlatformHttpClient(HttpNetwork network, Eventloop eventloop, long timeoutMillis) {
+        mNetwork = network;
         mEventloop = eventloop;
         mTimeoutMillis = timeoutMillis;
     }
 
     /** Creates a client with a timeout per request. */
     public static PlatformHttpClient of(Eventloop eventloop, Duration timeout) {
-        HttpClient client =
-                HttpClient.builder(eventloop, new IpLiteralDnsClient())
-                        .withConnectTimeout(timeout)
-                        .withReadWriteTimeout(timeout)
-                        .withKeepAliveTimeout(Duration.ofSeconds(30))
-                        .withMaxBodySize(MAX_BODY_BYTES)
-                        .build();
-        return new PlatformHttpClient(client, eventloop, timeout.toMillis());
+        HttpNetwork network = HttpNetwork.of(eventloop, THREAD, timeout, MAX_IDLE);
+        return new PlatformHttpClient(network, eventloop, timeout.toMillis());
     }
 
     /** Sends a conditional GET; the status is 304 if the content still has the given ETag. */
     public CompletableFuture<Response> getIfChanged(String service, String url, String etag) {
-        HttpRequest.Builder b = HttpRequest.get(url);
-        if (!etag.isEmpty()) {
-            b.withHeader(HttpHeaders.IF_NONE_MATCH, etag);
-        }
-        return send(service, b);
+        return send(service, HttpMethod.GET, url, Optional.empty(), etag);
     }
 
-    /** Sends a request; the future fails on a timeout or a status of 500 or above. */
+    /**
+     * Sends a request; the future fails with a {@link PlatformException} on a timeout, a status of
+     * 500 or above, a response body above 16 MB, or a URL that is not of the form {@code
+     * http://IP:PORT/PATH}.
+     */
     public CompletableFuture<Response> send(
             String service, HttpMethod method, String url, byte[] body) {
-        HttpRequest.Builder b = HttpRequest.builder(method, url);
-        if (body != null) {
-            b.withBody(body).withHeader(HttpHeaders.CONTENT_TYPE, "application/json");
-        }
-        return send(service, b);
+        return send(service, method, url, Optional.ofNullable(body), "");
     }
 
-    private CompletableFuture<Response> send(String service, HttpRequest.Builder b) {
-        CompletableFuture<Response> done = new CompletableFuture<>();
-        ScheduledRunnable timeout =
-                mEventloop.delayBackground(
-                        mTimeoutMillis,
-                        () ->
-                                done.completeExceptionally(
-                                        new PlatformException(service, "no answer in time")));
-        Promise<HttpResponse> sent = mClient.request(b.build());
-        sent.then(r -> r.loadBody(MAX_BODY_BYTES).map(buf -> toResponse(r, buf)))
-                .subscribe(
-                        (a, e) -> {
-                            if (e != null) {
-                                done.completeExceptionally(new PlatformException(service, e));
-                            } else if (a.status() >= MIN_SERVER_ERROR_STATUS) {
-                                done.completeExceptionally(
-                                        new PlatformException(service, "status " + a.status()));
-                            } else {
-                                done.complete(a);
-                            }
-                        });
-        done.whenComplete((a, e) -> timeout.cancel());
-        return done;
+    private CompletableFuture<Response> send(
+            String service, HttpMethod method, String url, Optional<byte[]> body, String etag) {
+        Call call = new Call(service);
+        try {
+            HttpUrl target = HttpUrl.parse(url);
+            FullHttpRequest r =
+                    target.request(
+                            io.netty.handler.codec.http.HttpMethod.valueOf(method.name()),
+                            "",
+                            body.orElse(new byte[0]));
+            if (body.isPresent()) {
+                r.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+            }
+            if (!etag.isEmpty()) {
+                r.headers().set(HttpHeaderNames.IF_NONE_MATCH, etag);
+            }
+            call.start(mNetwork.send(target, r, "", call));
+        } catch (IllegalArgumentException e) {
+            call.mResponse.completeExceptionally(new PlatformException(service, e));
+        }
+        return call.mResponse;
     }
 
-    private static Response toResponse(HttpResponse r, ByteBuf buf) {
-        long after = retryAfterMillis(Optional.ofNullable(r.getHeader(HttpHeaders.RETRY_AFTER)));
-        String etag = Optional.ofNullable(r.getHeader(HttpHeaders.ETAG)).orElse("");
-        return new Response(r.getCode(), buf.getArray(), after, etag);
+    /** Closes the client and its connections; responses that are due do not arrive any more. */
+    public void stop() {
+        mNetwork.stop();
     }
 
-    private static long retryAfterMillis(Optional<String> text) {
-        return text.filter(t -> t.matches("[0-9]{1,6}"))
-                .map(t -> Long.parseLong(t) * 1000)
-                .orElse(0L);
-    }
+    /** An active call. */
+    private final class Call implements HttpExchange.Listener {
+        private final String mService;
+        private final CompletableFuture<Response> mResponse = new CompletableFuture<>();
+        private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+        private HttpExchange mExchange;
+        private int mStatus;
+        private long mRetryAfterMillis;
+        private String mEtag = "";
+
+        Call(String service) {
+            mService = service;
+        }
 
-    /** Closes the client and its keep-alive connections. */
-    public void stop() {
-        mClient.stop();
-    }
+        void start(HttpExchange exchange) {
+            mExchange = exchange;
+            var timeout =
+                    mEventloop.delayBackground(mTimeoutMillis, () -> abort("no answer in time"));
+            mResponse.whenComplete((r, e) -> timeout.cancel());
+        }
+
+        /** Fails the call and closes its connection. */
+        private void abort(String message) {
+            mExchange.close();
+            mResponse.completeExceptionally(new PlatformException(mService, message));
+        }
 
-    /** Returns the header with the given name, for use in custom requests. */
-    public static HttpHeader header(String name) {
-        return HttpHeaders.of(name);
+        @Override
+        public void onHead(int status, List<Map.Entry<String, String>> headers) {
+            mStatus = status;
+            mRetryAfterMillis = retryAfterMillis(value(headers, HttpHeaderNames.RETRY_AFTER));
+            mEtag = value(headers, HttpHeaderNames.ETAG).orElse("");
+        }
+
+        private static Optional<String> value(
+                List<Map.Entry<String, String>> headers, CharSequence name) {
+            return headers.stream()
+                    .filter(h -> h.getKey().equalsIgnoreCase(name.toString()))
+                    .map(Map.Entry::getValue)
+                    .findFirst();
+        }
+
+        private static long retryAfterMillis(Optional<String> text) {
+            return text.filter(t -> t.matches("[0-9]{1,6}"))
+                    .map(t -> Long.parseLong(t) * 1000)
+                    .orElse(0L);
+        }
+
+        @Override
+        public void onData(byte[] data) {
+            if (mBody.size() + data.length > MAX_BODY_BYTES) {
+                abort("response body exceeds byte limit " + MAX_BODY_BYTES);
+                return;
+            }
+            mBody.writeBytes(data);
+        }
+
+        @Override
+        public void onEnd() {
+            if (mStatus >= MIN_SERVER_ERROR_STATUS) {
+                mResponse.completeExceptionally(
+                        new PlatformException(mService, "status " + mStatus));
+                return;
+            }
+            mResponse.complete(
+                    new Response(mStatus, mBody.toByteArray(), mRetryAfterMillis, mEtag));
+        }
+
+        @Override
+        public void onNotSent(Exception cause) {
+            onFailed(cause);
+        }
+
+        @Override
+        public void onFailed(Exception cause) {
+            mResponse.completeExceptionally(new PlatformException(mService, cause));
+        }
     }
 }
--- a/forkseam-platform/src/test/java/org/forkseam/platform/http/PlatformHttpClientTest.java
+++ b/forkseam-platform/src/test/java/org/forkseam/platform/http/PlatformHttpClientTest.java
@@ -9,6 +9,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -133,6 +135,52 @@
         }
     }
 
+    /** Where a service sends bytes without end, until the client closes the connection. */
+    private enum Endless {
+        BLANK_LINES("", "\r\n"),
+        STATUS_LINE("HTTP/1.1 200 ", "x"),
+        HEADER_LINES("HTTP/1.1 200 OK\r\n", "X-Filler: x\r\n"),
+        SHORT_HEADER_LINES("HTTP/1.1 200 OK\r\n", "a:\r\n"),
+        INFORMATIONAL("", "HTTP/1.1 102 Processing\r\n\r\n"),
+        BODY("HTTP/1.1 200 OK\r\n\r\n", "x"),
+        BODY_OF_A_FAILURE("HTTP/1.1 500 Oops\r\n\r\n", "x"),
+        CHUNKS("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"),
+        CHUNK_EXTENSION("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"),
+        TRAILERS("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "a: b\r\n"),
+        LONG_BODY("HTTP/1.1 200 OK\r\nContent-Length: 2000000000\r\n\r\n", "x");
+
+        private final String mBegin;
+        private final String mRepeated;
+
+        Endless(String begin, String repeated) {
+            mBegin = begin;
+            mRepeated = repeated;
+        }
+    }
+
+    /** Guards against a call that keeps what a faulty service sends, or waits for its end. */
+    @ParameterizedTest
+    @EnumSource(Endless.class)
+    void bytesWithoutEndFailTheCall(Endless e) throws Exception {
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        startThread(
+                () -> {
+                    String block = e.mRepeated.repeat(60_000 / e.mRepeated.length());
+                    try (Socket s = mListener.accept()) {
+                        readHead(s.getInputStream());
+                        byte[] bytes = block.getBytes(StandardCharsets.ISO_8859_1);
+                        s.getOutputStream().write(e.mBegin.getBytes(StandardCharsets.ISO_8859_1));
+                        while (true) {
+                            s.getOutputStream().write(bytes);
+                        }
+                    } catch (IOException x) {
+                        closed.complete(null);
+                    }
+                });
+        assertThat(call()).isEqualTo(FAILED);
+        closed.get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
     /** Guards against closing connections whose responses are sound. */
     @Test
     void soundResponsesShareAConnection() throws Exception {
