Bound the responses of the store and the header lines of all responses

Cause: SimpleHttpClient, the client of the store and of other routers, kept a body of any length until its timeout (up to 2.5 s at the speed of the link). The byte limit of a head, 32 KB, allows 8,000 short header lines, which take some 150 bytes each, for every response that is due.

Ruled out: responses to callers, which are bounded by size and in sum, and health checks, whose bodies beyond 16 KB are dropped.

Change: bodies above 16 MB fail the call; a response with more than 256 header lines, trailers included, is malformed.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/ResponseDecoder.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/ResponseDecoder.java
@@ -28,12 +28,19 @@
  * the response is then malformed. The body of the due response may hold any bytes.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
+    /**
+     * Maximum number of header lines of a response with its trailers. Each takes some 150 bytes, so
+     * that the byte limit of a head does not bound its memory.
+     */
+    static final int MAX_HEADER_LINES = 256;
+
     private final HttpConnection mConnection;
     private final HeadValidator mHeadValidator = new HeadValidator();
     private final StatusLineFinder mFinder = new StatusLineFinder();
     private boolean mInHead = true;
     private boolean mChunked;
     private int mLengthLines;
+    private int mHeaderLines;
 
     ResponseDecoder(HttpDecoderConfig config, HttpConnection connection) {
         super(config);
@@ -101,12 +108,16 @@
         }
         if (o instanceof LastHttpContent) {
             mInHead = true;
+            mHeaderLines = 0;
         }
     }
 
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
         AsciiString name = super.splitHeaderName(line, start, length);
+        if (++mHeaderLines > MAX_HEADER_LINES) {
+            throw new IllegalArgumentException("more than " + MAX_HEADER_LINES + " header lines");
+        }
         // In version 1.0, the decoder uses the first of several lengths and drops the others.
         if (HttpHeaderNames.CONTENT_LENGTH.contentEqualsIgnoreCase(name) && ++mLengthLines > 1) {
             throw new IllegalArgumentException("several Content-Length lines");
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/SimpleHttpClient.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/SimpleHttpClient.java
@@ -29,6 +29,9 @@
     /** Older idle connections may have been closed by the server. */
     private static final long MAX_IDLE_MILLIS = 4_000;
 
+    /** Exceeds the largest response of the store, a page of 500 rows; larger ones fail the call. */
+    static final int MAX_BODY_BYTES = 16 << 20;
+
     private final ReadBarrier mReadBarrier;
     private final ConnectionPool mPool;
     private final String mAddress;
@@ -63,7 +66,7 @@
 
     /**
      * Sends a request. The future fails with an {@link IOException} if no complete response
-     * arrives.
+     * arrives, or if its body exceeds 16 MB.
      */
     public CompletableFuture<Response> call(
             HttpMethod method, String uri, byte[] body, long timeoutMillis) {
@@ -140,6 +143,10 @@
         @Override
         public void onBody(ByteBuf bytes) {
             mBytesRead += bytes.readableBytes();
+            if (mBody.size() + bytes.readableBytes() > MAX_BODY_BYTES) {
+                fail("response body exceeds byte limit " + MAX_BODY_BYTES);
+                return;
+            }
             byte[] b = ByteBufUtil.getBytes(bytes);
             mBody.write(b, 0, b.length);
         }
--- a/forkseam-direct/src/test/java/org/forkseam/direct/io/SimpleHttpClientTest.java
+++ b/forkseam-direct/src/test/java/org/forkseam/direct/io/SimpleHttpClientTest.java
@@ -14,9 +14,11 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.Test;
 
+import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** Tests which bytes on the connection of a store count as the response to a call. */
 class SimpleHttpClientTest {
@@ -112,4 +114,48 @@
             assertThat(connector.openedCount()).isEqualTo(1);
         }
     }
+
+    /** Guards against a store whose responses without end fill the memory until the timeout. */
+    @Test
+    void bodyWithoutEndFailsTheCallAtTheByteLimit() throws Exception {
+        String part = "x".repeat(1 << 16);
+        AtomicLong sent = new AtomicLong();
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        try (ScriptedServer s =
+                ScriptedServer.of(
+                        (r, w) -> {
+                            try {
+                                w.send("HTTP/1.1 200 OK\r\n\r\n");
+                                while (sent.get() < 8L * SimpleHttpClient.MAX_BODY_BYTES) {
+                                    w.send(part);
+                                    sent.addAndGet(part.length());
+                                }
+                            } catch (IOException e) {
+                                closed.complete(null);
+                            }
+                            return false;
+                        })) {
+            SimpleHttpClient client = client(Connector.of(LOOP), s);
+            ExecutionException e = assertThrows(ExecutionException.class, () -> call(client));
+            assertThat(e).hasMessageThat().contains("byte limit");
+            closed.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        assertThat(sent.get()).isAtMost(2L * SimpleHttpClient.MAX_BODY_BYTES);
+    }
+
+    /** Guards against heads of many short lines, each of which takes far more than its bytes. */
+    @Test
+    void manyHeaderLinesFailTheCall() throws Exception {
+        try (ScriptedServer s =
+                ScriptedServer.of(
+                        (r, w) -> {
+                            w.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n");
+                            w.send("a:\r\n".repeat(ResponseDecoder.MAX_HEADER_LINES) + "\r\n");
+                            return true;
+                        })) {
+            SimpleHttpClient client = client(Connector.of(LOOP), s);
+            ExecutionException e = assertThrows(ExecutionException.class, () -> call(client));
+            assertThat(e).hasMessageThat().contains("header lines");
+        }
+    }
 }
