Answer or refuse every request in a planned stop

Cause: a router that stops took every request, whatever time was left, and the process ended with the connections.

Ruled out: refusing everything from the signal on; for 2.6 s the balancer still sends callers, most of whom can be served.

Change: DrainPolicy begins only what can end.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -35,6 +35,12 @@
     /** Retry delay sent while there is no configuration. */
     private static final long UNCONFIGURED_RETRY_AFTER_MILLIS = 500;
 
+    /** Reason of the final response of requests that a router which is stopping does not end. */
+    private static final String ROUTER_LEAVING = "router_leaving";
+
+    /** Retry delay for a caller that another router can serve at once. */
+    private static final long LEAVING_RETRY_AFTER_MILLIS = 100;
+
     private final RouterContext mContext;
     private final CallerRequest mRequest;
     private final ResponseSink mSink;
@@ -115,6 +121,10 @@
 
     private void admit(AdmissionCheck.Admitted admitted) {
         mAdmission = Admission.of(mConfig, admitted, mRequest);
+        if (!mContext.mayBegin(mAdmission)) {
+            mResponse.refuse(ROUTER_LEAVING, LEAVING_RETRY_AFTER_MILLIS);
+            return;
+        }
         if (route().kind() == RouteKind.RESUMABLE) {
             mStream.resumeAfter(mRequest.head().lastEventId());
             mResumable =
@@ -553,23 +563,43 @@
         if (!mStream.isStarted()) {
             mTicket.ifPresent(mContext.admissions()::onExpired);
         }
-        if (mAttempt != null) {
-            Attempt a = mAttempt;
-            mAttempt = null;
-            mAttempts.onFailed(a.isSent());
-            a.cancel();
-            mContext.meters().onAttempt("DEADLINE");
-            if (a.isSent() && a.target().isSilent(readUntil)) {
-                a.target().health().onFailure(mContext.now());
-            }
-        }
+        Optional<Attempt> cancelled = cancelAttempt("DEADLINE");
+        cancelled
+                .filter(a -> a.isSent() && a.target().isSilent(readUntil))
+                .ifPresent(a -> a.target().health().onFailure(mContext.now()));
         respondWithFailure("deadline");
     }
 
+    private Optional<Attempt> cancelAttempt(String end) {
+        Optional<Attempt> attempt = Optional.ofNullable(mAttempt);
+        mAttempt = null;
+        attempt.ifPresent(
+                a -> {
+                    mAttempts.onFailed(a.isSent());
+                    a.cancel();
+                    mContext.meters().onAttempt(end);
+                });
+        return attempt;
+    }
+
+    /** Sends the final response because the router stops. */
+    void endForStop() {
+        if (mDone) {
+            return;
+        }
+        if (mAdmission == null) {
+            mResponse.refuse(ROUTER_LEAVING, LEAVING_RETRY_AFTER_MILLIS);
+            return;
+        }
+        cancelAttempt("ROUTER_LEAVING");
+        respondWithFailure(ROUTER_LEAVING);
+    }
+
     // ---------------------------------------------------------------- completion
 
     private void finishAnswered(Attempt a) {
         mContext.retryDelay(pool()).onServed(mContext.now());
+        mContext.durations(route().name()).add(mContext.now() - mReadAt, mContext.now());
         mTargetSelection.onAnswered(pool(), a.target());
         if (route().kind().isStream() && mStream.isStarted()) {
             mResponse.completeStream();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -1,9 +1,11 @@
 package org.forkseam.direct.flow;
 
 import org.forkseam.core.admit.ColdStartLimiter;
+import org.forkseam.core.admit.DrainPolicy;
 import org.forkseam.core.load.PrefillRate;
 import org.forkseam.core.member.ErrorRate;
 import org.forkseam.core.outcome.AttemptPatience;
+import org.forkseam.core.outcome.RecentMaximum;
 import org.forkseam.core.outcome.RetryDelayEstimator;
 import org.forkseam.core.route.CandidateFilter;
 import org.forkseam.core.route.RegionFilter;
@@ -25,6 +27,9 @@
 
 /** State shared by all requests of a router. Used on the event loop. */
 final class RouterContext {
+    /** Window of the longest time that requests of a route took. */
+    private static final long DURATION_WINDOW_MILLIS = 30_000;
+
     private final Clock mClock;
     private final HeaderCodec mHeaderCodec;
     private final FleetState mFleetState;
@@ -51,8 +56,9 @@
     private final Set<CallerConnection> mConnections = new LinkedHashSet<>();
     private final DecisionLog mDecisions = DecisionLog.of(DecisionLog.DEFAULT_SIZE);
     private final PoolAdmissions mAdmissions;
+    private final Map<String, RecentMaximum> mDurations = new HashMap<>();
     private boolean mContended;
-    private boolean mDraining;
+    private Optional<DrainPolicy> mDrainPolicy = Optional.empty();
 
     /**
      * Strategies for selecting targets.
@@ -266,11 +272,28 @@
         return isContended(pool) && mFleetState.config().pool(pool).filter(Pool::engine).isEmpty();
     }
 
+    /** Returns how long requests of a route recently took until their final response. */
+    RecentMaximum durations(String route) {
+        return mDurations.computeIfAbsent(route, r -> RecentMaximum.of(DURATION_WINDOW_MILLIS));
+    }
+
     boolean isDraining() {
-        return mDraining;
+        return mDrainPolicy.isPresent();
+    }
+
+    void startDraining(DrainPolicy policy) {
+        mDrainPolicy = Optional.of(policy);
     }
 
-    void startDraining() {
-        mDraining = true;
+    /** Returns whether a request may begin, which only a router that is stopping restricts. */
+    boolean mayBegin(Admission a) {
+        return mDrainPolicy.isEmpty()
+                || mDrainPolicy
+                        .get()
+                        .mayBegin(
+                                a.route().kind().isRepeatable(),
+                                a.deadlineMillis(),
+                                durations(a.route().name()).get(now()),
+                                now());
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 
 import org.forkseam.core.admit.ColdStartLimiter;
+import org.forkseam.core.admit.DrainPolicy;
 import org.forkseam.core.kernel.Service;
 import org.forkseam.core.member.Target;
 import org.forkseam.core.member.TargetIncarnation;
@@ -57,6 +58,9 @@
     /** Time reserved to exit before the process would be killed. */
     private static final long STOP_MARGIN_MILLIS = 400;
 
+    /** Time before that in which the responses to requests that did not end are sent. */
+    private static final long FINAL_RESPONSE_MILLIS = 300;
+
     /**
      * Load of a home target, relative to the maximum load ratio, above which requests spill over to
      * other targets.
@@ -192,7 +196,10 @@
                 () -> {
                     mStopped = stopped;
                     mDrainStartMillis = mContext.now();
-                    mContext.startDraining();
+                    mContext.startDraining(
+                            DrainPolicy.of(
+                                    mDrainStartMillis + BALANCER_DETECTION_MILLIS,
+                                    mDrainStartMillis + requestsEndAfterMillis()));
                     Event.always("router_leaving")
                             .with("in_flight", mContext.activeRequests().size())
                             .log();
@@ -365,6 +372,13 @@
         return Math.max(MIN_ROUTER_COUNT, mFleetState.routers());
     }
 
+    /**
+     * Returns how long after the stop signal requests get a final response, whatever their state.
+     */
+    private long requestsEndAfterMillis() {
+        return mBounds.shutdownMillis() - STOP_MARGIN_MILLIS - FINAL_RESPONSE_MILLIS;
+    }
+
     private void continueDraining(long now) {
         long elapsed = now - mDrainStartMillis;
         if (elapsed < BALANCER_DETECTION_MILLIS) {
@@ -372,6 +386,9 @@
         }
         mServer.closeListener();
         List.copyOf(mContext.connections()).forEach(CallerConnection::closeIfIdle);
+        if (elapsed > requestsEndAfterMillis()) {
+            List.copyOf(mContext.activeRequests()).forEach(RequestFlow::endForStop);
+        }
         boolean busy = mContext.connections().stream().anyMatch(CallerConnection::isBusy);
         boolean late = elapsed > mBounds.shutdownMillis() - STOP_MARGIN_MILLIS;
         if (busy && !late) {
