Begin no resumable stream at a version that other routers may not know

What callers saw: none here; other operators saw streams of a new version go on at the old one, at a router that was out of step (ORDER).

Cause: a version gets resumable streams once every router knows it, but was used before if no other version accepted requests. A router out of step then inferred the old version, whose targets still accepted in its view.

Ruled out: lists that count as younger than they are; their time is that at which the read began.

The property of VersionHistoryTest plays the exception now.

--- a/forkseam-core/src/main/java/org/forkseam/core/member/VersionHistory.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/member/VersionHistory.java
@@ -38,6 +38,9 @@
     /** When each version was last listed, by pool and version. */
     private final Map<String, Map<Long, Long>> mListedAt = new HashMap<>();
 
+    /** When this router first listed each version, by pool and version. */
+    private final Map<String, Map<Long, Long>> mFirstListedAt = new HashMap<>();
+
     private final Map<String, Recorded> mRecorded = new HashMap<>();
     private long mOutdatedMillis;
     private long mListCurrentAt = Long.MIN_VALUE / 2;
@@ -97,10 +100,15 @@
                 addRecorded(t.entry().pool(), nowMillis);
             }
             known.put(t.softwareKey(), nowMillis);
+            mFirstListedAt
+                    .computeIfAbsent(t.entry().pool(), p -> new HashMap<>())
+                    .putIfAbsent(t.softwareKey(), nowMillis);
         }
         long oldest = nowMillis - STREAM_LIFETIME_MILLIS;
         mListedAt.values().forEach(known -> known.values().removeIf(at -> at < oldest));
         mListedAt.values().removeIf(Map::isEmpty);
+        mFirstListedAt.forEach((pool, first) -> first.keySet().retainAll(versions(pool)));
+        mFirstListedAt.values().removeIf(Map::isEmpty);
     }
 
     /**
@@ -192,6 +200,21 @@
                 : OptionalLong.empty();
     }
 
+    /**
+     * Returns the time until streams may begin at an unopened version of which no other version of
+     * the pool can take them; 0 if they may. A router that does not know the version yet could
+     * otherwise continue them at an earlier one, unless there was none. A version that is not on
+     * record, as while the store is away, counts from when this router first listed it.
+     */
+    public long millisToFallback(String pool, long softwareKey, long nowMillis) {
+        if (versions(pool).equals(Set.of(softwareKey))) {
+            return 0;
+        }
+        long listedAt =
+                mFirstListedAt.getOrDefault(pool, Map.of()).getOrDefault(softwareKey, nowMillis);
+        return Math.max(0, listedAt + openingDelayMillis() - nowMillis);
+    }
+
     /** Returns the versions of the pool at which no streams may begin yet. */
     public Set<Long> unopenedVersions(String pool, long nowMillis) {
         Map<Long, Long> recordedAt = recorded(pool).recordedAt();
--- a/forkseam-core/src/test/java/org/forkseam/core/member/VersionHistoryTest.java
+++ b/forkseam-core/src/test/java/org/forkseam/core/member/VersionHistoryTest.java
@@ -124,6 +124,26 @@
         assertThat(mHistory.unopenedVersions("p", opens)).isEmpty();
     }
 
+    /** Guards against streams that no other router can tell from those of an earlier version. */
+    @Test
+    void unopenedVersionIsNoFallbackBesideAnEarlierOne() {
+        record(0, 0, "v1");
+        listFrom(0, 0, "v1");
+        assertThat(mHistory.millisToFallback("p", key("v1"), 0)).isEqualTo(0);
+        listFrom(20_000, 20_000, "v1", "v2");
+        listFrom(21_000, 21_000, "v2");
+        long opens = 20_000 + mHistory.openingDelayMillis();
+        assertThat(mHistory.millisToFallback("p", key("v2"), 21_000)).isEqualTo(opens - 21_000);
+        assertThat(mHistory.millisToFallback("p", key("v2"), opens)).isEqualTo(0);
+    }
+
+    @Test
+    void firstVersionOfAPoolIsAFallbackAtOnce() {
+        listFrom(0, 0, "v1");
+        assertThat(mHistory.unopenedVersions("p", 0)).containsExactly(key("v1"));
+        assertThat(mHistory.millisToFallback("p", key("v1"), 0)).isEqualTo(0);
+    }
+
     @Test
     void recordReplacesTheHistoryOfARouterThatHasJustStarted() {
         record(-LIFETIME_MILLIS, 0, "v1");
@@ -222,7 +242,9 @@
                     nextRead[r] = t + (cutOff ? random.nextLong(20_000) : INTERVAL_MILLIS);
                 }
                 VersionHistory h = histories.get(r);
-                boolean begins = t >= joins && !h.unopenedVersions("p", t).contains(key("v2"));
+                boolean opened = !h.unopenedVersions("p", t).contains(key("v2"));
+                boolean fallback = t >= leaves && h.millisToFallback("p", key("v2"), t) == 0;
+                boolean begins = t >= joins && (opened || fallback);
                 if (begins && knows(h, "v2", t)) {
                     firstNew = Math.min(firstNew, t);
                 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetSelection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/TargetSelection.java
@@ -1,6 +1,7 @@
 package org.forkseam.direct.flow;
 
 import org.forkseam.core.member.Target;
+import org.forkseam.core.member.VersionHistory;
 import org.forkseam.core.route.BoundedLoadPicker;
 import org.forkseam.core.route.CandidateFilter;
 import org.forkseam.core.route.Pick;
@@ -157,9 +158,22 @@
         List<Target> all = allowedTargets(admission);
         List<Target> opened = withoutUnopenedVersions(all, admission);
         Optional<Pick> pick = select(admission, opened, all.size());
-        return pick.isEmpty() && opened.size() < all.size()
-                ? select(admission, all, all.size())
-                : pick;
+        if (pick.isPresent() || opened.size() == all.size()) {
+            return pick;
+        }
+        List<Target> fallback = all.stream().filter(t -> millisToBegin(t, admission) == 0).toList();
+        return select(admission, fallback, all.size());
+    }
+
+    /** Returns the time until a resumable stream may begin at a target if no other takes it. */
+    private long millisToBegin(Target t, Admission a) {
+        if (a.route().kind() != RouteKind.RESUMABLE || mRequiredSoftware.isPresent()) {
+            return 0;
+        }
+        VersionHistory versions = mContext.fleetState().versions();
+        return versions.unopenedVersions(a.pool(), mContext.now()).contains(t.softwareKey())
+                ? versions.millisToFallback(a.pool(), t.softwareKey(), mContext.now())
+                : 0;
     }
 
     /**
@@ -261,6 +275,9 @@
         if (all.stream().anyMatch(t -> t.acceptsRequests(now) && t.isCold(coldMillis, now))) {
             return "cold";
         }
+        if (all.stream().anyMatch(t -> t.acceptsRequests(now) && millisToBegin(t, admission) > 0)) {
+            return "version_opening";
+        }
         if (all.stream().anyMatch(Target::isEvacuated)) {
             return "evacuated";
         }
@@ -279,7 +296,12 @@
         OptionalLong first = OptionalLong.empty();
         for (Target t : allowedTargets(admission)) {
             if (t.acceptsRequests(now)) {
-                return OptionalLong.empty();
+                long in = millisToBegin(t, admission);
+                if (in == 0) {
+                    return OptionalLong.empty();
+                }
+                first = OptionalLong.of(Math.min(in, first.orElse(Long.MAX_VALUE)));
+                continue;
             }
             if (t.isEvacuated() || !t.isPoolMember()) {
                 continue;
