Bound all memory that is kept for callers and targets together

What callers saw: crowds of callers that stop short of the end of their requests ended the process, or left ordinary callers without an answer.

Cause: bounds were set for bodies and responses of 64 KB and more only. Smaller ones, heads and their lines, trailers, pipelined requests, unread responses and connections were bounded for one connection, not for all; a line of 4 bytes takes 250. Heap and direct memory of 128 MB each exceeded the host.

Ruled out: a leak; a bound for each connection (9 KB for each of 2,730).

Change: MemoryBudget, one account by the size of allocations, 0.3 of the heap and at most 0.15 of limits.memory-mb: whole requests first, stalled ones and the newest unfinished refused first, ordinary ones always with room. RequestReader replaces BodyReader and RequestAggregator, RequestDecoder leaves bytes undecoded that the connection does not take. Callers' connections are bounded by limits.max-fds. A body is cut after idle-timeout-ms without bytes, no longer by the timeout of the head. Log fields and notes on decisions are cut; operators' connections are bounded.

--- a/forkseam-core/src/main/java/org/forkseam/core/util/DecisionLog.java
+++ b/forkseam-core/src/main/java/org/forkseam/core/util/DecisionLog.java
@@ -19,6 +19,9 @@
 
     private static final int MAX_NOTES_PER_REQUEST = 24;
 
+    /** Longer ids, which callers choose, and texts are cut. */
+    private static final int MAX_TEXT_LENGTH = 256;
+
     private final Map<String, List<Note>> mNotes;
 
     /**
@@ -41,15 +44,19 @@
 
     /** Adds a decision on a request. */
     public void add(String requestId, String what, String where) {
-        List<Note> notes = mNotes.computeIfAbsent(requestId, k -> new ArrayList<>(4));
+        List<Note> notes = mNotes.computeIfAbsent(cut(requestId), k -> new ArrayList<>(4));
         if (notes.size() < MAX_NOTES_PER_REQUEST) {
-            notes.add(new Note(System.currentTimeMillis(), what, where));
+            notes.add(new Note(System.currentTimeMillis(), cut(what), cut(where)));
         }
     }
 
+    private static String cut(String text) {
+        return text.length() <= MAX_TEXT_LENGTH ? text : text.substring(0, MAX_TEXT_LENGTH);
+    }
+
     /** Returns the decisions on a request, oldest first. */
     public List<Note> of(String requestId) {
-        return Collections.unmodifiableList(mNotes.getOrDefault(requestId, List.of()));
+        return Collections.unmodifiableList(mNotes.getOrDefault(cut(requestId), List.of()));
     }
 
     /** Returns the most recent requests with their decisions. */
--- a/forkseam-direct/src/main/java/org/forkseam/direct/RouterSettings.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/RouterSettings.java
@@ -3,6 +3,8 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 /**
  * Settings of a router. Immutable.
@@ -15,6 +17,7 @@
  * @param metricsAddress listen address for metrics and the state dump, if any
  * @param snapshotAddress listen address for snapshot requests of other routers, if any
  * @param peerAddress listen address for datagrams of other routers
+ * @param hostLimits limits of the host
  * @param bounds time and load limits
  * @since 0.2
  */
@@ -27,8 +30,22 @@
         Optional<InetSocketAddress> metricsAddress,
         Optional<InetSocketAddress> snapshotAddress,
         InetSocketAddress peerAddress,
+        HostLimits hostLimits,
         Bounds bounds) {
 
+    /**
+     * Limits of the host.
+     *
+     * @param memoryBytes memory of a process, if limited
+     * @param descriptors descriptors of a process, if limited
+     */
+    public record HostLimits(OptionalLong memoryBytes, OptionalInt descriptors) {
+        /** Returns the limits of a host that has none. */
+        public static HostLimits none() {
+            return new HostLimits(OptionalLong.empty(), OptionalInt.empty());
+        }
+    }
+
     /** Returns these settings with other limits. */
     public RouterSettings withBounds(Bounds other) {
         return new RouterSettings(
@@ -40,6 +57,7 @@
                 metricsAddress,
                 snapshotAddress,
                 peerAddress,
+                hostLimits,
                 other);
     }
 
--- a/forkseam-direct/src/main/java/org/forkseam/direct/admin/AdminService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/admin/AdminService.java
@@ -11,6 +11,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -21,6 +23,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutHandler;
 
 import org.forkseam.core.kernel.Service;
 import org.forkseam.direct.log.Event;
@@ -49,6 +52,13 @@
     private static final long REGISTRY_DELAY_MILLIS = 8_000;
 
     private static final int MAX_BODY_BYTES = 4096;
+
+    /** Open connections to each address; further ones are closed. */
+    private static final int MAX_CONNECTIONS = 64;
+
+    /** Connections without a request or progress for this long are closed. */
+    private static final int MAX_IDLE_SECONDS = 60;
+
     private static final String METRICS_PATH = "/metrics";
 
     private final EventLoop mLoop;
@@ -121,6 +131,7 @@
     private CompletableFuture<Void> listen(
             InetSocketAddress address, RequestHandler requestHandler) {
         CompletableFuture<Void> bound = new CompletableFuture<>();
+        ChannelGroup open = new DefaultChannelGroup(mLoop);
         new ServerBootstrap()
                 .group(mLoop)
                 .channel(NioServerSocketChannel.class)
@@ -128,7 +139,13 @@
                         new ChannelInitializer<Channel>() {
                             @Override
                             protected void initChannel(Channel ch) {
+                                if (open.size() >= MAX_CONNECTIONS) {
+                                    ch.close();
+                                    return;
+                                }
+                                open.add(ch);
                                 ch.pipeline()
+                                        .addLast(new ReadTimeoutHandler(MAX_IDLE_SECONDS))
                                         .addLast(new HttpServerCodec())
                                         .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
                                         .addLast(handler(requestHandler));
@@ -151,12 +168,15 @@
         return new SimpleChannelInboundHandler<FullHttpRequest>() {
             @Override
             protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest r) {
+                // Responses do not pile up for a client that does not read them.
+                ctx.channel().config().setAutoRead(false);
                 FullHttpResponse response = requestHandler.handle(r.uri());
                 boolean keep = HttpUtil.isKeepAlive(r);
                 HttpUtil.setKeepAlive(response, keep);
                 ctx.writeAndFlush(response)
                         .addListener(
                                 f -> {
+                                    ctx.channel().config().setAutoRead(true);
                                     if (!keep) {
                                         ctx.close();
                                     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 
+import org.forkseam.core.admit.MemoryBudget;
 import org.forkseam.core.member.Target;
 import org.forkseam.direct.io.ConnectionCallback;
 import org.forkseam.direct.io.EventSplitter;
@@ -25,7 +26,7 @@
  * <p>Successful responses on streaming routes are forwarded event by event. All other responses are
  * buffered until complete, so that a failed one can be replaced by a retry.
  */
-final class Attempt implements ConnectionCallback, ResponseListener, BufferedResponses.Holder {
+final class Attempt implements ConnectionCallback, ResponseListener, MemoryBudget.Owner {
     /** Name of the delimiter of a body without chunks and length. */
     static final String DELIMITED_BY_CLOSE = "close";
 
@@ -38,6 +39,9 @@
      */
     private static final int MAX_BATCH_BYTES = 64 << 10;
 
+    /** Smaller amounts of a response are not counted. */
+    private static final int MIN_COUNTED_BYTES = 4 << 10;
+
     /**
      * If an attempt is cancelled without any response for this long, the network may have silently
      * dropped the connection. Idle connections to the same target are then closed, since they may
@@ -59,6 +63,7 @@
     private Optional<AttemptResult> mChecked = Optional.empty();
     private boolean mSkipped;
     private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
+    private Optional<MemoryBudget.Account> mMemory = Optional.empty();
     private boolean mPaused;
     private long mResumedAt;
     private boolean mForwardsEvents;
@@ -99,7 +104,7 @@
         }
         mEnded = true;
         endPause();
-        mContext.bufferedResponses().release(this);
+        mMemory.ifPresent(MemoryBudget.Account::close);
         mTarget.onRequestEnded();
         if (isSent()
                 && mLastReceivedAt == 0
@@ -335,13 +340,13 @@
             onResponseTooLarge("response body exceeds byte limit " + MAX_BODY_BYTES);
             return;
         }
-        mContext.bufferedResponses().onBuffered(this, mBody.readableBytes());
+        updateMemory();
     }
 
     private void onStreamBytes(ByteBuf bytes) {
         mSplitter.add(bytes);
         if (mSplitter.bufferedBytes() >= MAX_BATCH_BYTES) {
-            onReadComplete();
+            forwardEvents();
         }
         if (mEnded) {
             return;
@@ -350,11 +355,39 @@
             onResponseTooLarge("event exceeds byte limit " + MAX_BODY_BYTES);
             return;
         }
-        mContext.bufferedResponses().onBuffered(this, mSplitter.bufferedBytes());
+        updateMemory();
+    }
+
+    /** Accounts for what was received and is not passed on; ends the attempt without room. */
+    private void updateMemory() {
+        if (mEnded || mConnection == null) {
+            return;
+        }
+        long kept =
+                mConnection.undecodedBytes()
+                        + mSplitter.bufferedBytes()
+                        + (mBody.isReadable() ? mBody.capacity() : 0);
+        long counted = kept < MIN_COUNTED_BYTES ? 0 : kept;
+        if (counted == 0 && mMemory.isEmpty()) {
+            return;
+        }
+        if (mMemory.isEmpty()) {
+            mMemory = Optional.of(mContext.memory().open(this));
+        }
+        if (!mMemory.get().holdResponse(counted, mContext.now())) {
+            onMemoryRevoked(MemoryBudget.Use.RESPONSE);
+        }
     }
 
     @Override
-    public void onResponseTooLarge(String detail) {
+    public void onMemoryRevoked(MemoryBudget.Use use) {
+        mContext.meters().onMemoryRefusal("response");
+        onResponseTooLarge(
+                "all kept requests and responses exceed byte limit "
+                        + mContext.memory().maxBytes());
+    }
+
+    private void onResponseTooLarge(String detail) {
         if (mConnection != null) {
             mConnection.abort();
         }
@@ -366,6 +399,11 @@
      */
     @Override
     public void onReadComplete() {
+        forwardEvents();
+        updateMemory();
+    }
+
+    private void forwardEvents() {
         if (mEnded || !mForwardsEvents) {
             return;
         }
@@ -417,7 +455,7 @@
 
     @Override
     public void onComplete() {
-        onReadComplete();
+        forwardEvents();
         boolean closed = mConnection.hasEndedByClose();
         mConnection = null;
         if (mEnded) {
@@ -467,7 +505,7 @@
 
     @Override
     public void onExchangeFailed(ExchangeFailure failure, String detail) {
-        onReadComplete();
+        forwardEvents();
         mConnection = null;
         end(AttemptResult.of(failure, detail));
     }
@@ -478,7 +516,7 @@
         }
         mEnded = true;
         endPause();
-        mContext.bufferedResponses().release(this);
+        mMemory.ifPresent(MemoryBudget.Account::close);
         mTarget.onRequestEnded();
         mListener.onAttemptEnded(this, result);
     }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerConnection.java
@@ -1,7 +1,6 @@
 package org.forkseam.direct.flow;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
@@ -9,7 +8,6 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -17,18 +15,19 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 
+import org.forkseam.core.admit.MemoryBudget;
 import org.forkseam.core.traffic.CallerLimits;
 import org.forkseam.direct.io.ChunkEncoder;
 import org.forkseam.direct.log.Event;
+import org.forkseam.direct.spi.RequestHead;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Optional;
+import java.util.List;
 
 /**
  * A connection from a caller: reads complete requests one after another and writes their responses.
@@ -36,20 +35,30 @@
  *
  * <p>If the connection closes, its active request is cancelled.
  */
-final class CallerConnection extends ChannelDuplexHandler implements ResponseSink {
+final class CallerConnection extends ChannelDuplexHandler
+        implements ResponseSink, MemoryBudget.Owner {
     /** Maximum number of pipelined requests; reading pauses when it is reached. */
     private static final int MAX_QUEUED = 16;
 
+    /** Memory of pipelined requests from which reading pauses. */
+    private static final long MAX_QUEUED_BYTES = 64 << 10;
+
+    /** Smaller amounts that the caller has not accepted are not counted. */
+    private static final long MIN_COUNTED_BYTES = 4 << 10;
+
     /** Bodies take seconds to arrive; another router may have room at once. */
-    private static final long BODY_RETRY_AFTER_MILLIS = 500;
+    private static final long MEMORY_RETRY_AFTER_MILLIS = 500;
 
     private final RouterContext mContext;
     private final Deque<Queued> mQueue = new ArrayDeque<>();
+    private final MemoryBudget.Account mMemory;
     private ChannelHandlerContext mChannel;
-    private ChannelHandlerContext mCodec;
-    private BodyReader mBodyReader;
-    private Optional<RequestBodies.Reservation> mBody = Optional.empty();
-    private boolean mBodyWaits;
+    private ChannelHandlerContext mEncoder;
+    private RequestDecoder mDecoder;
+    private RequestReader mReader;
+    private long mQueuedBytes;
+    private boolean mInputEnded;
+    private boolean mResumeScheduled;
     private boolean mContinueDue;
     private RequestFlow mFlow;
     private boolean mKeepAlive = true;
@@ -57,10 +66,16 @@
     private boolean mBodiless;
     private long mLastUse;
     private long mRequestStartedAt;
+    private long mLastBytesAt;
     private Arrival mArrival;
 
-    /** A request that waits for those before it, what responds to it, and its body's memory. */
-    private record Queued(Runnable start, Optional<RequestBodies.Reservation> body) {}
+    /**
+     * What responds to a request that waits for those before it.
+     *
+     * @param refuse responds in place of it if its memory is needed
+     * @param bytes memory of the request
+     */
+    private record Queued(Runnable start, Runnable refuse, long bytes) {}
 
     /**
      * Creates a connection.
@@ -69,24 +84,31 @@
      */
     CallerConnection(RouterContext context, Arrival arrival) {
         mContext = context;
+        mMemory = context.memory().open(this);
         mLastUse = context.now();
         mArrival = arrival;
     }
 
+    /** Sets the handlers that receive requests before this one. */
+    void setInput(RequestDecoder decoder, RequestReader reader) {
+        mDecoder = decoder;
+        mReader = reader;
+    }
+
     // ---------------------------------------------------------------- reading
 
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         mChannel = ctx;
-        mCodec = ctx.pipeline().context(HttpServerCodec.class);
-        mBodyReader = ctx.pipeline().get(BodyReader.class);
+        mEncoder = ctx.pipeline().context(ResponseEncoder.class);
         mContext.connections().add(this);
     }
 
     /** Handles received bytes: the first ones after a response start a request. */
     void onBytes() {
+        mLastBytesAt = mContext.now();
         if (mRequestStartedAt == 0) {
-            mRequestStartedAt = mContext.now();
+            mRequestStartedAt = mLastBytesAt;
             mArrival =
                     mArrival != null && mArrival.wasDelayed()
                             ? mArrival
@@ -94,87 +116,181 @@
         }
     }
 
-    @Override
-    public void channelRead(ChannelHandlerContext ctx, Object msg) {
-        FullHttpRequest r = (FullHttpRequest) msg;
-        try {
-            enqueue(r);
-        } finally {
-            r.release();
-        }
-    }
-
-    private void enqueue(FullHttpRequest r) {
+    /**
+     * Starts a request that has arrived, after the responses to earlier ones.
+     *
+     * @param bytes its memory
+     */
+    void enqueue(HttpRequest head, byte[] body, long bytes) {
         if (mClosing) {
             return; // ignored: the connection is being closed
         }
-        if (r.decoderResult().isFailure()) {
-            refuseMalformed(r.decoderResult().cause());
-            return;
-        }
         mLastUse = mContext.now();
+        RequestHead decoded = mContext.headerCodec().decode(head);
         CallerRequest request =
                 new CallerRequest(
-                        r.method(),
-                        r.uri(),
-                        r.headers().copy(),
-                        bytes(r.content()),
-                        mContext.headerCodec().decode(r),
+                        head.method(),
+                        head.uri(),
+                        head.headers(),
+                        body,
+                        decoded,
                         mArrival == null ? mContext.arrivalTracker().next() : mArrival);
         mRequestStartedAt = 0;
         mArrival = null;
         mContinueDue = false;
-        addToQueue(() -> startFlow(request), mBodyReader.takeReservation());
+        addToQueue(
+                new Queued(
+                        () -> startFlow(request, bytes),
+                        () -> respondWithoutMemory(request.id()),
+                        bytes));
     }
 
-    private void addToQueue(Runnable start, Optional<RequestBodies.Reservation> body) {
-        mQueue.add(new Queued(start, body));
-        updateAutoRead();
+    private void addToQueue(Queued q) {
+        mQueue.add(q);
+        mQueuedBytes += q.bytes();
+        updateReading();
         startNext();
     }
 
-    /** Returns the bytes of a body, without another copy of a large one. */
-    private static byte[] bytes(ByteBuf body) {
-        boolean whole =
-                body.hasArray()
-                        && body.arrayOffset() == 0
-                        && body.readerIndex() == 0
-                        && body.array().length == body.readableBytes();
-        return whole ? body.array() : ByteBufUtil.getBytes(body);
+    // ---------------------------------------------------------------- memory
+
+    long now() {
+        return mContext.now();
+    }
+
+    /** Returns whether more of the received bytes may be decoded. */
+    boolean mayDecode() {
+        return !mReader.isWaiting()
+                && !mInputEnded
+                && mQueue.size() < MAX_QUEUED
+                && mQueuedBytes <= MAX_QUEUED_BYTES;
+    }
+
+    /** Pauses or resumes reading, and the decoding of bytes that were read before. */
+    private void updateReading() {
+        boolean mayDecode = mayDecode();
+        mChannel.channel().config().setAutoRead(mayDecode);
+        if (mayDecode && !mResumeScheduled && mDecoder.hasUndecodedBytes()) {
+            mResumeScheduled = true;
+            mChannel.executor().execute(this::resumeDecoding);
+        }
     }
 
-    /** Pauses reading while a body waits for memory; that time is not the caller's. */
-    void setBodyWaits(boolean waits) {
-        if (mBodyWaits && !waits && mRequestStartedAt != 0) {
-            mRequestStartedAt = mContext.now();
+    private void resumeDecoding() {
+        mResumeScheduled = false;
+        if (mayDecode() && isOpen()) {
+            mChannel.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
+            mChannel.pipeline().fireChannelReadComplete();
         }
-        mBodyWaits = waits;
-        updateAutoRead();
     }
 
-    private void updateAutoRead() {
-        mChannel.channel().config().setAutoRead(!mBodyWaits && mQueue.size() < MAX_QUEUED);
+    /** Called when a request begins or ends to wait for memory; that time is not the caller's. */
+    void onWaiting(boolean waiting) {
+        if (waiting) {
+            mContext.memoryUsers().add(this);
+        } else {
+            mLastBytesAt = mContext.now();
+        }
+        if (!mClosing) {
+            updateReading();
+        }
     }
 
-    /**
-     * Refuses a request whose body is not read. Returns false if responses to earlier requests are
-     * due.
-     */
-    boolean refuseUnread(HttpRequest head) {
-        if (mFlow != null || !mQueue.isEmpty() || mClosing) {
-            return false;
+    /** Called at the end of a read: accounts for what has arrived of unfinished requests. */
+    void onReadComplete() {
+        long bytes = unfinishedBytes();
+        boolean counted = bytes > 0 || mMemory.bytes(MemoryBudget.Use.UNFINISHED) > 0;
+        if (counted && !mClosing && !mMemory.holdUnfinished(bytes, mContext.now())) {
+            onMemoryRevoked(MemoryBudget.Use.UNFINISHED);
+        }
+    }
+
+    private long unfinishedBytes() {
+        return mReader.partialBytes() + mQueuedBytes;
+    }
+
+    /** Accounts for more memory of an unfinished request; returns false if there is none. */
+    boolean holdMore(long bytes) {
+        return mMemory.holdUnfinished(unfinishedBytes() + bytes, mContext.now());
+    }
+
+    @Override
+    public void onMemoryRevoked(MemoryBudget.Use use) {
+        if (mClosing) {
+            return;
+        }
+        if (use == MemoryBudget.Use.RESPONSE) {
+            mContext.meters().onMemoryRefusal("unread_response");
+            Event.of("slow_reader_closed").with("unsent_bytes", unsentBytes()).log();
+            close();
+            return;
+        }
+        mContext.meters().onMemoryRefusal("unfinished");
+        List<Queued> queued = List.copyOf(mQueue);
+        mQueue.clear();
+        queued.forEach(q -> mQueue.add(new Queued(q.refuse(), q.refuse(), 0)));
+        mQueuedBytes = 0;
+        mReader.giveUp();
+        mMemory.holdUnfinished(0, mContext.now());
+    }
+
+    /** Retries what waits for memory, and accounts for what a slow reader has not accepted. */
+    void onMemoryTick() {
+        mReader.retry();
+        updateUnsent();
+        if (!mReader.isWaiting() && mMemory.bytes(MemoryBudget.Use.RESPONSE) == 0) {
+            mContext.memoryUsers().remove(this);
+        }
+    }
+
+    private void updateUnsent() {
+        long unsent = unsentBytes();
+        long counted = unsent < MIN_COUNTED_BYTES ? 0 : unsent;
+        if (counted == mMemory.bytes(MemoryBudget.Use.RESPONSE)) {
+            return;
+        }
+        mContext.memoryUsers().add(this);
+        if (!mMemory.holdResponse(counted, mContext.now())) {
+            onMemoryRevoked(MemoryBudget.Use.RESPONSE);
         }
+    }
+
+    /** Refuses a request whose body is not read, after the responses to earlier requests. */
+    void refuseForMemory(HttpRequest head) {
         String id = mContext.headerCodec().decode(head).requestId().orElse("");
-        Event.of("body_refused")
+        mContinueDue = false;
+        Runnable refuse = () -> respondWithoutMemory(id);
+        addToQueue(new Queued(refuse, refuse, 0));
+    }
+
+    private void respondWithoutMemory(String id) {
+        Event.of("refused_memory")
                 .with("request", id)
-                .with("held_bytes", mContext.requestBodies().totalBytes())
+                .with("kept_bytes", mContext.memory().totalBytes())
+                .with("max_bytes", mContext.memory().maxBytes())
                 .log();
-        mKeepAlive = true; // the rest of the body would reset a connection that is closed
+        mContext.meters().onOutcome("refused_memory");
+        mKeepAlive = true; // the rest of a body would reset a connection that is closed
         mBodiless = false;
         respond(
                 mContext.responses()
-                        .unavailable(id, "not run: no memory for body", BODY_RETRY_AFTER_MILLIS));
-        return true;
+                        .unavailable(id, "not run: no memory", MEMORY_RETRY_AFTER_MILLIS));
+    }
+
+    /** Reads no more; the connection is closed after the responses that are due. */
+    void endInput() {
+        mInputEnded = true;
+        discardInput();
+        updateReading();
+        startNext();
+    }
+
+    private void discardInput() {
+        try {
+            mDecoder.discard(mChannel.pipeline().context(mDecoder));
+        } catch (Exception e) {
+            Event.error("discard_failed", e).log();
+        }
     }
 
     /** Called when the rest of a body that was refused has arrived. */
@@ -184,6 +300,8 @@
         mLastUse = mContext.now();
     }
 
+    // ---------------------------------------------------------------- requests
+
     /**
      * Starts the next request once the previous response is mostly accepted, so that callers that
      * do not read their responses do not fill the router's memory.
@@ -193,16 +311,25 @@
             return;
         }
         Queued next = mQueue.poll();
+        if (next == null && mInputEnded) {
+            close();
+            return;
+        }
         if (next == null) {
             sendContinue();
             return;
         }
-        updateAutoRead();
-        mBody = next.body();
+        mQueuedBytes -= next.bytes();
+        updateReading();
         next.start().run();
     }
 
-    private void startFlow(CallerRequest request) {
+    private void startFlow(CallerRequest request, long bytes) {
+        if (!mMemory.holdRequest(bytes, mContext.now())) {
+            mContext.meters().onMemoryRefusal("request");
+            respondWithoutMemory(request.id());
+            return;
+        }
         mKeepAlive = keepsAlive(request);
         mBodiless = request.method().equals(HttpMethod.HEAD);
         mFlow = new RequestFlow(mContext, request, this);
@@ -213,7 +340,11 @@
         return !r.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
     }
 
-    private void refuseMalformed(Throwable cause) {
+    /** Refuses a request that cannot be decoded, and reads no more. */
+    void refuseMalformed(Throwable cause) {
+        if (mClosing) {
+            return;
+        }
         HttpResponseStatus status =
                 cause instanceof TooLongFrameException
                         ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
@@ -228,7 +359,6 @@
      * @param keepAlive whether the next request can be told from the body
      */
     void refuseBody(HttpRequest head, HttpResponseStatus status, boolean keepAlive) {
-        mBodyReader.release();
         if (mClosing) {
             return;
         }
@@ -245,7 +375,7 @@
                     mBodiless = false;
                     respond(mContext.responses().local(id, status, reason));
                 };
-        addToQueue(start, Optional.empty());
+        addToQueue(new Queued(start, start, 0));
     }
 
     /** Handles a head whose caller waits for an interim response before it sends the body. */
@@ -287,8 +417,9 @@
             bytes.release();
             return;
         }
-        mCodec.writeAndFlush(
-                ChunkEncoder.encode(mCodec.alloc(), bytes)); // bypasses the HTTP encoder
+        mEncoder.writeAndFlush(
+                ChunkEncoder.encode(mEncoder.alloc(), bytes)); // bypasses the HTTP encoder
+        updateUnsent();
     }
 
     @Override
@@ -308,19 +439,26 @@
 
     private void finishResponse(io.netty.channel.ChannelFuture written, boolean close) {
         mFlow = null;
-        releaseBody();
         mLastUse = mContext.now();
+        mMemory.holdRequest(0, mLastUse);
         if (close) {
             mClosing = true;
+            releaseInput();
+            updateUnsent();
             written.addListener(ChannelFutureListener.CLOSE);
             return;
         }
+        updateUnsent();
         startNext();
     }
 
-    private void releaseBody() {
-        mBody.ifPresent(RequestBodies.Reservation::release);
-        mBody = Optional.empty();
+    /** Drops what has arrived of further requests, which are not served any more. */
+    private void releaseInput() {
+        discardInput();
+        mReader.release();
+        mQueue.clear();
+        mQueuedBytes = 0;
+        mMemory.holdUnfinished(0, mLastUse);
     }
 
     @Override
@@ -340,6 +478,16 @@
         return mChannel.channel().isWritable();
     }
 
+    /** Returns whether the current response has no body by the method of its request. */
+    boolean isBodiless() {
+        return mBodiless;
+    }
+
+    /** Returns whether the connection is closed once its last response was sent. */
+    boolean isClosing() {
+        return mClosing;
+    }
+
     // ---------------------------------------------------------------- lifecycle
 
     @Override
@@ -354,11 +502,10 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         mContext.connections().remove(this);
+        mContext.memoryUsers().remove(this);
         mClosing = true;
-        releaseBody();
-        mBodyReader.release();
-        mQueue.forEach(q -> q.body().ifPresent(RequestBodies.Reservation::release));
-        mQueue.clear();
+        releaseInput();
+        mMemory.close();
         if (mFlow != null) {
             RequestFlow flow = mFlow;
             mFlow = null;
@@ -371,17 +518,34 @@
         ctx.close(); // connection reset by the caller; channelInactive cleans up
     }
 
-    /** Returns whether the connection was idle, or receiving a request head, for too long. */
+    /** Returns whether the connection was idle, or a request did not arrive, for too long. */
     boolean isStale(long now, CallerLimits limits) {
-        if (mFlow != null || mClosing) {
+        if (mFlow != null || mClosing || mReader.isWaiting()) {
             return false;
         }
-        boolean slowHead =
-                !mBodyWaits
-                        && mRequestStartedAt != 0
-                        && now - mRequestStartedAt > limits.headerMillis();
-        boolean idle = mRequestStartedAt == 0 && now - mLastUse > limits.idleMillis();
-        return slowHead || idle;
+        if (mRequestStartedAt == 0) {
+            return now - mLastUse > limits.idleMillis();
+        }
+        if (!mReader.isInBody()) {
+            return now - mRequestStartedAt > limits.headerMillis();
+        }
+        long max = mReader.isDiscarding() ? limits.headerMillis() : limits.idleMillis();
+        return now - mLastBytesAt > max;
+    }
+
+    /** Returns whether the connection may be closed to make room: it serves no request. */
+    boolean isSparable() {
+        return mFlow == null && !mClosing && mQueue.isEmpty() && unsentBytes() == 0;
+    }
+
+    /** Returns whether nothing of a request has arrived. */
+    boolean isIdle() {
+        return mRequestStartedAt == 0;
+    }
+
+    /** Returns when the last request arrived or was responded to. */
+    long lastUse() {
+        return mLastUse;
     }
 
     /** Returns the number of response bytes that the caller has not accepted yet. */
@@ -404,6 +568,7 @@
 
     void close() {
         mClosing = true;
+        releaseInput();
         mChannel.close();
     }
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerServer.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerServer.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
 
 import org.forkseam.core.traffic.CallerLimits;
 import org.forkseam.direct.io.EarlyServerSocket;
@@ -17,11 +16,18 @@
 final class CallerServer {
     private final EventLoopGroup mGroup;
     private final RouterContext mContext;
+    private final int mMaxConnections;
     private Channel mListener;
 
-    CallerServer(EventLoopGroup group, RouterContext context) {
+    /**
+     * Creates a server.
+     *
+     * @param maxConnections open connections, beyond which one is closed for each new one
+     */
+    CallerServer(EventLoopGroup group, RouterContext context, int maxConnections) {
         mGroup = group;
         mContext = context;
+        mMaxConnections = maxConnections;
     }
 
     CompletableFuture<Void> serve(EarlyServerSocket listener) {
@@ -36,6 +42,11 @@
     }
 
     private void accept(Channel ch) {
+        if (mContext.connections().size() >= mMaxConnections && !closeAnother()) {
+            mContext.meters().onMemoryRefusal("connection");
+            ch.close();
+            return;
+        }
         CallerLimits limits = mContext.fleetState().config().limits();
         CallerConnection connection =
                 new CallerConnection(mContext, mContext.arrivalTracker().next());
@@ -43,6 +54,9 @@
                 new HttpDecoderConfig()
                         .setMaxInitialLineLength(limits.headerBytes())
                         .setMaxHeaderSize(limits.headerBytes());
+        RequestDecoder decoder = new RequestDecoder(config, connection::mayDecode);
+        RequestReader reader = new RequestReader(connection, decoder, limits.bodyBytes());
+        connection.setInput(decoder, reader);
         ch.pipeline()
                 .addLast(
                         new ChannelInboundHandlerAdapter() {
@@ -52,12 +66,36 @@
                                 ctx.fireChannelRead(msg);
                             }
                         })
-                .addLast(new HttpServerCodec(config))
-                .addLast(new BodyReader(mContext, connection, limits.bodyBytes()))
-                .addLast(new RequestAggregator(connection, limits.bodyBytes()))
+                .addLast(decoder)
+                .addLast(new ResponseEncoder(connection::isBodiless))
+                .addLast(reader)
                 .addLast(connection);
     }
 
+    /**
+     * Closes the connection that can best be spared: the longest idle one, else the newest whose
+     * request is not complete. Returns false if all serve requests.
+     */
+    private boolean closeAnother() {
+        CallerConnection spared = null;
+        for (CallerConnection c : mContext.connections()) {
+            if (!c.isSparable()) {
+                continue;
+            }
+            boolean better =
+                    spared == null
+                            || c.isIdle() && (!spared.isIdle() || c.lastUse() < spared.lastUse())
+                            || !c.isIdle() && !spared.isIdle();
+            spared = better ? c : spared;
+        }
+        if (spared == null) {
+            return false;
+        }
+        mContext.meters().onMemoryRefusal(spared.isIdle() ? "idle" : "unfinished");
+        spared.close();
+        return true;
+    }
+
     /** Closes the listening socket; open connections are kept. */
     void closeListener() {
         if (mListener != null) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestMeters.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestMeters.java
@@ -46,6 +46,7 @@
     private final Map<String, Counter> mSecondAttempts = new HashMap<>();
     private final Map<String, Counter> mSecondAttemptsWithheld = new HashMap<>();
     private final Map<String, Counter> mLivenessChecks = new HashMap<>();
+    private final Map<String, Counter> mMemoryRefusals = new HashMap<>();
     private final Map<String, Counter> mPlacements = new HashMap<>();
     private final Map<String, Counter> mAdmissions = new HashMap<>();
     private final Map<String, DoubleSupplier> mAdmissionShares = new HashMap<>();
@@ -68,6 +69,8 @@
                 (k, c) -> c.register("forkseam.second_attempts.withheld", "reason", k, registry));
         mLivenessChecks.forEach(
                 (k, c) -> c.register("forkseam.liveness_checks", "result", k, registry));
+        mMemoryRefusals.forEach(
+                (k, c) -> c.register("forkseam.memory.refusals", "what", k, registry));
         mPlacements.forEach((k, c) -> c.register("forkseam.placements", "result", k, registry));
         mAdmissions.forEach((k, c) -> c.register("forkseam.admission", "decision", k, registry));
         mAdmissionShares.forEach((pool, share) -> registerShare(pool, share, registry));
@@ -126,6 +129,11 @@
         count(mLivenessChecks, "forkseam.liveness_checks", "result", result);
     }
 
+    /** Counts what was refused or given up because memory or connections were short. */
+    void onMemoryRefusal(String what) {
+        count(mMemoryRefusals, "forkseam.memory.refusals", "what", what);
+    }
+
     /** Counts a prompt for which a coordinator was asked, by result. */
     void onPlacement(String result) {
         count(mPlacements, "forkseam.placements", "result", result);
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterContext.java
@@ -2,6 +2,7 @@
 
 import org.forkseam.core.admit.ColdStartLimiter;
 import org.forkseam.core.admit.DrainPolicy;
+import org.forkseam.core.admit.MemoryBudget;
 import org.forkseam.core.load.PrefillRate;
 import org.forkseam.core.member.ErrorRate;
 import org.forkseam.core.outcome.AttemptPatience;
@@ -38,8 +39,7 @@
     private final ColdStartLimiter mColdStartLimiter;
     private final CrashDetector mCrashDetector;
     private final LivenessCheck mLivenessCheck;
-    private final BufferedResponses mBufferedResponses = BufferedResponses.forHeap();
-    private final RequestBodies mRequestBodies = RequestBodies.forHeap();
+    private final MemoryBudget mMemory;
     private final RetryBudgets mRetryBudgets;
     private final ResponseFactory mResponses;
     private final RequestMeters mMeters;
@@ -54,6 +54,10 @@
     private final Map<String, PrefillRate> mPrefillRates = new HashMap<>();
     private final Set<RequestFlow> mActiveRequests = new LinkedHashSet<>();
     private final Set<CallerConnection> mConnections = new LinkedHashSet<>();
+
+    /** Connections that wait for memory, in this order, and those of slow readers. */
+    private final Set<CallerConnection> mMemoryUsers = new LinkedHashSet<>();
+
     private final DecisionLog mDecisions = DecisionLog.of(DecisionLog.DEFAULT_SIZE);
     private final PoolAdmissions mAdmissions;
     private final Map<String, RecentMaximum> mDurations = new HashMap<>();
@@ -92,6 +96,7 @@
             ArrivalTracker arrivalTracker,
             RequestQueue.LoopScheduler loopScheduler,
             ReadBarrier readBarrier,
+            MemoryBudget memory,
             RandomGenerator random) {}
 
     private RouterContext(Parts p) {
@@ -109,6 +114,7 @@
         mRequestQueue = new RequestQueue(mClock, mArrivalTracker, p.loopScheduler());
         mLoopLag = new EventLoopLag(ArrivalTracker.ITERATION_MILLIS, mClock.nowMillis());
         mReadBarrier = p.readBarrier();
+        mMemory = p.memory();
         mLivenessCheck = new LivenessCheck(this);
         mCrashDetector =
                 new CrashDetector(
@@ -207,13 +213,14 @@
         return mAdmissions;
     }
 
-    /** Returns the bound on request bodies. */
-    RequestBodies requestBodies() {
-        return mRequestBodies;
+    /** Returns the account of the memory of requests and responses. */
+    MemoryBudget memory() {
+        return mMemory;
     }
 
-    BufferedResponses bufferedResponses() {
-        return mBufferedResponses;
+    /** Returns the connections whose memory is checked at each tick. */
+    Set<CallerConnection> memoryUsers() {
+        return mMemoryUsers;
     }
 
     LivenessCheck livenessCheck() {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -90,6 +90,8 @@
         mFleetState = p.fleetState();
         mBounds = settings.bounds();
         mSteps = GuardedSteps.of(clock);
+        MemoryLimits limits =
+                MemoryLimits.of(settings.hostLimits(), Runtime.getRuntime().maxMemory());
         mContext =
                 RouterContext.of(
                         new RouterContext.Parts(
@@ -113,9 +115,10 @@
                                 new ArrivalTracker(clock, p.listener().openedMillis(clock)),
                                 loopScheduler(loop),
                                 ReadBarrier.of(loop),
+                                limits.newBudget(),
                                 p.random()));
         mContext.setContended(mBounds.contended());
-        mServer = new CallerServer(loop, mContext);
+        mServer = new CallerServer(loop, mContext, limits.maxCallers());
     }
 
     private static RequestQueue.LoopScheduler loopScheduler(EventLoop loop) {
@@ -250,8 +253,9 @@
         m.put("loop_late_ms", mContext.loopLag().lagMillis());
         m.put("callers", mContext.connections().size());
         m.put("unsent_bytes", unsentBytes());
-        m.put("request_body_bytes", mContext.requestBodies().totalBytes());
-        m.put("buffered_bytes", mContext.bufferedResponses().totalBytes());
+        m.put("memory", mContext.memory().dump());
+        m.put("request_body_bytes", mContext.memory().requestBytes());
+        m.put("buffered_bytes", mContext.memory().responseBytes());
         m.put("target_connections", mContext.targetConnections().openCount());
         m.put("target_connections_opened", mContext.targetConnections().openedCount());
         m.put("surplus", surplus().dump());
@@ -332,6 +336,7 @@
     private void check(long readUntil) {
         mSteps.run("queue", mContext.requestQueue()::onTick);
         mSteps.run("admissions", mContext.admissions()::onTick);
+        List.copyOf(mContext.memoryUsers()).forEach(c -> mSteps.run("memory", c::onMemoryTick));
         for (RequestFlow f : List.copyOf(mContext.activeRequests())) {
             mSteps.run("request", () -> f.onTick(readUntil));
         }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/HttpConnection.java
@@ -110,6 +110,11 @@
         mChannel.config().setAutoRead(autoRead);
     }
 
+    /** Returns the memory of received bytes that are no part of a response yet. */
+    public long undecodedBytes() {
+        return mDecoder.keptBytes();
+    }
+
     /** Returns whether the last response ended because the server closed the connection. */
     public boolean hasEndedByClose() {
         return mEndedByClose;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/ResponseDecoder.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/ResponseDecoder.java
@@ -34,6 +34,8 @@
      */
     static final int MAX_HEADER_LINES = 256;
 
+    private static final long HEADER_LINE_BYTES = 150;
+
     private final HttpConnection mConnection;
     private final HeadValidator mHeadValidator = new HeadValidator();
     private final StatusLineFinder mFinder = new StatusLineFinder();
@@ -52,6 +54,13 @@
         return actualReadableBytes();
     }
 
+    /** Returns the memory of undecoded bytes and of the lines of a part of a head or trailer. */
+    long keptBytes() {
+        ByteBuf undecoded = internalBuffer();
+        return (undecoded.isReadable() ? undecoded.capacity() : 0)
+                + HEADER_LINE_BYTES * mHeaderLines;
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
             throws Exception {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/SimpleHttpClient.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/SimpleHttpClient.java
@@ -29,14 +29,18 @@
     /** Older idle connections may have been closed by the server. */
     private static final long MAX_IDLE_MILLIS = 4_000;
 
-    /** Exceeds the largest response of the store, a page of 500 rows; larger ones fail the call. */
-    static final int MAX_BODY_BYTES = 16 << 20;
+    /**
+     * Exceeds the largest responses of the store, a configuration and a page of 500 targets; calls
+     * fail beyond it. Holds for all calls together.
+     */
+    static final int MAX_BODY_BYTES = 8 << 20;
 
     private final ReadBarrier mReadBarrier;
     private final ConnectionPool mPool;
     private final String mAddress;
     private long mCallCount;
     private long mBytesRead;
+    private long mBufferedBytes;
 
     private SimpleHttpClient(EventLoop loop, Connector connector, Clock clock, String address) {
         mReadBarrier = ReadBarrier.of(loop);
@@ -66,7 +70,7 @@
 
     /**
      * Sends a request. The future fails with an {@link IOException} if no complete response
-     * arrives, or if its body exceeds 16 MB.
+     * arrives, or if the bodies of all active calls exceed 8 MB.
      */
     public CompletableFuture<Response> call(
             HttpMethod method, String uri, byte[] body, long timeoutMillis) {
@@ -143,17 +147,19 @@
         @Override
         public void onBody(ByteBuf bytes) {
             mBytesRead += bytes.readableBytes();
-            if (mBody.size() + bytes.readableBytes() > MAX_BODY_BYTES) {
+            if (mBufferedBytes + bytes.readableBytes() > MAX_BODY_BYTES) {
                 fail("response body exceeds byte limit " + MAX_BODY_BYTES);
                 return;
             }
             byte[] b = ByteBufUtil.getBytes(bytes);
             mBody.write(b, 0, b.length);
+            mBufferedBytes += b.length;
         }
 
         @Override
         public void onComplete() {
             mTimer.cancel(false);
+            mBufferedBytes -= mBody.size();
             mResponse.complete(
                     new Response(mHead.status().code(), mHead.headers(), mBody.toByteArray()));
         }
@@ -169,6 +175,7 @@
                 return;
             }
             mTimer.cancel(false);
+            mBufferedBytes -= mBody.size();
             if (mConnection != null) {
                 mConnection.abort();
             }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/log/Event.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/log/Event.java
@@ -16,6 +16,9 @@
     /** Maximum number of lines per second. */
     private static final long LINES_PER_SECOND = 600;
 
+    /** Bounds the memory of queued lines, whose fields may come from callers and targets. */
+    static final int MAX_FIELD_LENGTH = 512;
+
     private static final Logger LOG = LoggerFactory.getLogger("forkseam");
     private static final AtomicLong SKIPPED = new AtomicLong();
     private static final Event DISABLED = new Event(null);
@@ -65,14 +68,20 @@
         return SKIPPED.get();
     }
 
-    /** Adds a field. */
+    /** Adds a field; the text of a long one is cut. */
     public Event with(String key, Object value) {
         if (mBuilder != null) {
-            mBuilder = mBuilder.addKeyValue(key, value);
+            mBuilder = mBuilder.addKeyValue(key, value instanceof String s ? cut(s) : value);
         }
         return this;
     }
 
+    private static String cut(String text) {
+        return text.length() <= MAX_FIELD_LENGTH
+                ? text
+                : text.substring(0, MAX_FIELD_LENGTH) + "... (" + text.length() + ")";
+    }
+
     /** Logs the line. */
     public void log() {
         if (mBuilder != null) {
