Count what is kept of streams, and a request once

What callers saw: none; found by reading. A faulty target could make each stream keep 128 KB of its past beside the account. A request that arrived in parts was counted twice when it began, so that a large one could be refused without need, and a refused caller that closes its connection was told that it stays open.

Cause: the history of a stream was bounded for one stream only; the unfinished part was released at the end of the read, after the request began.

Ruled out: a bound on the history below the events that callers may have.

Change: the history and the capacity of the buffer of events count as part of the response; the unfinished part is released before the request is counted; operators' ports take 512 connections, as 340 routers may start at once.

LargeBodiesTest, PipelinedRequestsTest, RouterRequestTest, StreamContinuationTest, MemoryBudgetTest pass.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/admin/AdminService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/admin/AdminService.java
@@ -54,7 +54,7 @@
     private static final int MAX_BODY_BYTES = 4096;
 
     /** Open connections to each address; further ones are closed. */
-    private static final int MAX_CONNECTIONS = 64;
+    private static final int MAX_CONNECTIONS = 512;
 
     /** Connections without a request or progress for this long are closed. */
     private static final int MAX_IDLE_SECONDS = 60;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/Attempt.java
@@ -365,7 +365,8 @@
         }
         long kept =
                 mConnection.undecodedBytes()
-                        + mSplitter.bufferedBytes()
+                        + mSplitter.keptBytes()
+                        + mListener.keptStreamBytes()
                         + (mBody.isReadable() ? mBody.capacity() : 0);
         long counted = kept < MIN_COUNTED_BYTES ? 0 : kept;
         if (counted == 0 && mMemory.isEmpty()) {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptListener.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/AttemptListener.java
@@ -33,6 +33,9 @@
     /** Returns whether the stream may end where the response to the attempt ends. */
     boolean mayEndStream();
 
+    /** Returns the memory of what is kept of the stream to continue it. */
+    long keptStreamBytes();
+
     /** Called once with the result; no other call follows. */
     void onAttemptEnded(Attempt attempt, AttemptResult result);
 }
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerConnection.java
@@ -141,7 +141,10 @@
         addToQueue(
                 new Queued(
                         () -> startFlow(request, bytes),
-                        () -> respondWithoutMemory(request.id()),
+                        () -> {
+                            mKeepAlive = keepsAlive(request);
+                            respondWithoutMemory(request.id());
+                        },
                         bytes));
     }
 
@@ -259,7 +262,11 @@
     void refuseForMemory(HttpRequest head) {
         String id = mContext.headerCodec().decode(head).requestId().orElse("");
         mContinueDue = false;
-        Runnable refuse = () -> respondWithoutMemory(id);
+        Runnable refuse =
+                () -> {
+                    mKeepAlive = true; // the rest of the body would reset a closed connection
+                    respondWithoutMemory(id);
+                };
         addToQueue(new Queued(refuse, refuse, 0));
     }
 
@@ -270,7 +277,6 @@
                 .with("max_bytes", mContext.memory().maxBytes())
                 .log();
         mContext.meters().onOutcome("refused_memory");
-        mKeepAlive = true; // the rest of a body would reset a connection that is closed
         mBodiless = false;
         respond(
                 mContext.responses()
@@ -325,12 +331,15 @@
     }
 
     private void startFlow(CallerRequest request, long bytes) {
+        mKeepAlive = keepsAlive(request);
+        if (mMemory.bytes(MemoryBudget.Use.UNFINISHED) > 0) {
+            mMemory.holdUnfinished(unfinishedBytes(), mContext.now()); // without this request
+        }
         if (!mMemory.holdRequest(bytes, mContext.now())) {
             mContext.meters().onMemoryRefusal("request");
             respondWithoutMemory(request.id());
             return;
         }
-        mKeepAlive = keepsAlive(request);
         mBodiless = request.method().equals(HttpMethod.HEAD);
         mFlow = new RequestFlow(mContext, request, this);
         mFlow.start();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/EventHistory.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/EventHistory.java
@@ -38,6 +38,11 @@
         mSize++;
     }
 
+    /** Returns the memory of the recorded events. */
+    long keptBytes() {
+        return 2L * Long.BYTES * mIds.length;
+    }
+
     /** Returns the number of recorded events. */
     int size() {
         return mSize;
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RequestFlow.java
@@ -418,6 +418,11 @@
         return mStream.accepts(head);
     }
 
+    @Override
+    public long keptStreamBytes() {
+        return mStream.keptBytes();
+    }
+
     @Override
     public boolean mayEndStream() {
         return mStream.mayEnd();
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamPosition.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamPosition.java
@@ -64,6 +64,11 @@
         return mUnidentified;
     }
 
+    /** Returns the memory of what is kept of forwarded events. */
+    long keptBytes() {
+        return mUnidentifiedBytes + mHistory.keptBytes();
+    }
+
     /**
      * Returns whether another target can continue the stream. Without an id, it starts from the
      * beginning and has to send the same events again.
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamRelay.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/StreamRelay.java
@@ -55,6 +55,11 @@
         return mPosition;
     }
 
+    /** Returns the memory of what is kept to continue the stream. */
+    long keptBytes() {
+        return mPosition.keptBytes();
+    }
+
     /** Returns whether a successful response can start the stream, or continue it. */
     boolean accepts(HttpResponse head) {
         return !isStarted()
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/EventSplitter.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/EventSplitter.java
@@ -46,6 +46,11 @@
         }
     }
 
+    /** Returns the memory of the bytes held. */
+    public int keptBytes() {
+        return mLength == 0 ? 0 : mBuffer.length;
+    }
+
     /** Returns the number of bytes held. */
     public int bufferedBytes() {
         return mLength;
