Do not register again what the store has not shown yet

What callers saw: nothing; after the store came back from a copy, a router wrote its registration twice if reads were slow (listed red, StoreRestoreTest).

Cause: RowRestorer does not note its own registration, so that the check 5 s after a restore registers again what the feed has not shown.

Ruled out: a longer delay of the check; a lost registration would be repaired later.

Change: a registration that was written less than 10 s ago is checked again instead of written again; a further restore of the store ends that time.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/know/RowRestorer.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/know/RowRestorer.java
@@ -13,6 +13,9 @@
     /** Delay before the registration is checked, or a failed write is retried. */
     private static final long RETRY_MILLIS = 5_000;
 
+    /** Time within which a read shows what this router has written. */
+    private static final long MAX_READ_DELAY_MILLIS = 10_000;
+
     /** Delay of the routers that write lost rows only if the reading router has failed to. */
     private static final long FALLBACK_WRITE_DELAY_MILLIS = 1_500;
 
@@ -22,12 +25,15 @@
     /** Routers that have not registered again this long after a restore are removed. */
     private static final long ROUTER_EXPIRY_MILLIS = 60_000;
 
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     private final SharedRows mRows;
     private final RowTable mTable;
     private final RowFollower mRowFollower;
     private boolean mWriting;
     private boolean mRegistering;
     private int mFailedRegistrations;
+    private long mRegisteredAt = NEVER;
 
     RowRestorer(Context context, SharedRows rows, RowTable table, RowFollower follower) {
         super(context);
@@ -61,7 +67,12 @@
         }
         Optional<SharedRow> own = mTable.find(ownKey());
         boolean isThere = own.isPresent() && own.get().value().equals(peers().address());
-        if (!isThere || mTable.isUnsynced(ownKey())) {
+        if (isThere && !mTable.isUnsynced(ownKey())) {
+            return;
+        }
+        if (now() - mRegisteredAt < MAX_READ_DELAY_MILLIS) {
+            schedule(RETRY_MILLIS, this::register); // written, and not read yet
+        } else {
             mRegistering = true;
             mRows.put(ownKey(), peers().address()).whenComplete((done, e) -> onRegistered(e));
         }
@@ -70,6 +81,7 @@
     private void onRegistered(Throwable failure) {
         if (failure == null) {
             mRegistering = false;
+            mRegisteredAt = now();
             mFailedRegistrations = 0;
             return;
         }
@@ -89,6 +101,7 @@
      * @param isFirst whether this router writes the shared rows without delay
      */
     void onStoreRestored(boolean isFirst) {
+        mRegisteredAt = NEVER;
         schedule(fleetJitterMillis(), this::register);
         schedule(RETRY_MILLIS + fleetJitterMillis(), this::register);
         long pause = isFirst ? 0 : FALLBACK_WRITE_DELAY_MILLIS + fleetJitterMillis();
