Load the classes of an exchange before the first call to a platform service

Cause: since calls use the connections of the direct path, whose classes were loaded within the first call.

Ruled out: a longer timeout of the first call, which a dead service would take.

Change: ExchangeClasses loads them by an exchange without a network when the client is created.

--- a/forkseam-platform/src/main/java/org/forkseam/platform/http/PlatformHttpClient.java
+++ b/forkseam-platform/src/main/java/org/forkseam/platform/http/PlatformHttpClient.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 
+import org.forkseam.direct.io.ExchangeClasses;
 import org.forkseam.platform.PlatformException;
 
 import java.io.ByteArrayOutputStream;
@@ -57,6 +58,7 @@
 
     /** Creates a client with a timeout per request. */
     public static PlatformHttpClient of(Eventloop eventloop, Duration timeout) {
+        ExchangeClasses.load();
         HttpNetwork network = HttpNetwork.of(eventloop, THREAD, timeout, MAX_IDLE);
         return new PlatformHttpClient(network, eventloop, timeout.toMillis());
     }
