Release the memory of refused pipelined requests and of closing connections

What callers saw: none; found by reading the account of memory. Three holes: pipelined requests that were given up stayed in memory until their refusal was sent; the response on a connection that closes behind it was not given up; such a connection stayed open for as long as its caller did not read.

Cause: the refusal referred to the request; a closing connection ignored that its memory was revoked, and was not checked for idleness.

Ruled out: closing these connections at once; callers that read slowly get the response, as on connections that are kept.

Change: the refusal keeps the id only; memory is revoked from closing connections too, and the idle timeout holds for them. MemoryCrowdTest has two more crowds: 2,500 callers that pipeline, and unread responses on connections that close.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerConnection.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/CallerConnection.java
@@ -138,14 +138,14 @@
         mRequestStartedAt = 0;
         mArrival = null;
         mContinueDue = false;
-        addToQueue(
-                new Queued(
-                        () -> startFlow(request, bytes),
-                        () -> {
-                            mKeepAlive = keepsAlive(request);
-                            respondWithoutMemory(request.id());
-                        },
-                        bytes));
+        String id = request.id();
+        boolean keepAlive = keepsAlive(request);
+        Runnable refuse =
+                () -> { // does not refer to the request, whose memory is needed
+                    mKeepAlive = keepAlive;
+                    respondWithoutMemory(id);
+                };
+        addToQueue(new Queued(() -> startFlow(request, bytes), refuse, bytes));
     }
 
     private void addToQueue(Queued q) {
@@ -219,15 +219,15 @@
 
     @Override
     public void onMemoryRevoked(MemoryBudget.Use use) {
-        if (mClosing) {
-            return;
-        }
         if (use == MemoryBudget.Use.RESPONSE) {
             mContext.meters().onMemoryRefusal("unread_response");
             Event.of("slow_reader_closed").with("unsent_bytes", unsentBytes()).log();
             close();
             return;
         }
+        if (mClosing) {
+            return;
+        }
         mContext.meters().onMemoryRefusal("unfinished");
         List<Queued> queued = List.copyOf(mQueue);
         mQueue.clear();
@@ -529,10 +529,10 @@
 
     /** Returns whether the connection was idle, or a request did not arrive, for too long. */
     boolean isStale(long now, CallerLimits limits) {
-        if (mFlow != null || mClosing || mReader.isWaiting()) {
+        if (mFlow != null || mReader.isWaiting()) {
             return false;
         }
-        if (mRequestStartedAt == 0) {
+        if (mRequestStartedAt == 0 || mClosing) {
             return now - mLastUse > limits.idleMillis();
         }
         if (!mReader.isInBody()) {
