Bound the connections to targets by the descriptors of the process

What callers saw: none; MemoryCrowdTest#PIPELINED_BY_MANY on. 2,500 callers whose requests no target answered made a router open over 5,000 descriptors, of 4,100 that the host has; then the store and other routers could not be reached any more.

Cause: each request in flight has a connection to its target, which were bounded for each target only.

Ruled out: refusing callers for it; more than half of the descriptors are theirs only without targets.

Change: callers have half of the descriptors (0.7 before), targets 0.4, the rest is for the store, operators and other routers. Beyond it an attempt counts as not sent, like one for which the system has no descriptor.

--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/MemoryLimits.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/MemoryLimits.java
@@ -8,8 +8,9 @@
  *
  * @param budgetBytes memory of all bytes that are kept for callers and targets
  * @param maxCallers connections of callers
+ * @param maxTargets connections to targets
  */
-record MemoryLimits(long budgetBytes, int maxCallers) {
+record MemoryLimits(long budgetBytes, int maxCallers, int maxTargets) {
     /** The rest of the heap is for the state of the router and its connections. */
     private static final double HEAP_SHARE = 0.3;
 
@@ -25,10 +26,13 @@
     /** Descriptors that the platform reserves for files. */
     private static final int FILE_DESCRIPTORS = 200;
 
-    /** The rest of the descriptors is for targets, the store, operators and other routers. */
-    private static final double CALLERS_SHARE = 0.7;
+    /** Share of the descriptors for callers. */
+    private static final double CALLERS_SHARE = 0.5;
 
-    private static final int MIN_CALLERS = 16;
+    /** Share for targets; the rest is for the store, operators and other routers. */
+    private static final double TARGETS_SHARE = 0.4;
+
+    private static final int MIN_CONNECTIONS = 16;
 
     /** Returns the limits of a host and a heap of the given size. */
     static MemoryLimits of(RouterSettings.HostLimits host, long heapBytes) {
@@ -38,13 +42,13 @@
                                 HEAP_SHARE * heapBytes,
                                 HOST_SHARE * host.memoryBytes().orElse(Long.MAX_VALUE));
         long byMemory = (long) (CONNECTIONS_SHARE * heapBytes) / CONNECTION_BYTES;
-        long byDescriptors =
-                (long)
-                        (CALLERS_SHARE
-                                * (host.descriptors().orElse(Integer.MAX_VALUE)
-                                        - FILE_DESCRIPTORS));
-        long callers = Math.max(MIN_CALLERS, Math.min(byMemory, byDescriptors));
-        return new MemoryLimits(budget, (int) Math.min(Integer.MAX_VALUE, callers));
+        int sockets = host.descriptors().orElse(Integer.MAX_VALUE) - FILE_DESCRIPTORS;
+        long callers = Math.min(byMemory, (long) (CALLERS_SHARE * sockets));
+        long targets = (long) (TARGETS_SHARE * sockets);
+        return new MemoryLimits(
+                budget,
+                (int) Math.max(MIN_CONNECTIONS, Math.min(Integer.MAX_VALUE, callers)),
+                (int) Math.max(MIN_CONNECTIONS, targets));
     }
 
     MemoryBudget newBudget() {
--- a/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/flow/RouterService.java
@@ -98,7 +98,8 @@
                                 clock,
                                 p.headerCodec(),
                                 p.fleetState(),
-                                new TargetConnections(Connector.of(loop), clock),
+                                new TargetConnections(
+                                        Connector.of(loop).withMaxOpen(limits.maxTargets()), clock),
                                 new RouterContext.Selectors(
                                         CandidateFilter.of(p.random()),
                                         homePicker(mBounds),
--- a/forkseam-direct/src/main/java/org/forkseam/direct/io/Connector.java
+++ b/forkseam-direct/src/main/java/org/forkseam/direct/io/Connector.java
@@ -35,6 +35,8 @@
     private final int mConnectTimeoutMillis;
     private final SurplusCounts mSurplus = SurplusCounts.create();
     private long mOpenedCount;
+    private int mMaxOpen = Integer.MAX_VALUE;
+    private int mOpenCount;
 
     private Connector(
             EventLoop loop, int connectTimeoutMillis, ChannelFactory<? extends Channel> channels) {
@@ -64,6 +66,12 @@
         return new Connector(loop, CONNECT_TIMEOUT_MILLIS, channels);
     }
 
+    /** Returns this connector with a limit on the connections that are open or being opened. */
+    public Connector withMaxOpen(int maxOpen) {
+        mMaxOpen = maxOpen;
+        return this;
+    }
+
     /** Returns the number of connections opened since the start. */
     public long openedCount() {
         return mOpenedCount;
@@ -75,6 +83,10 @@
     }
 
     void connect(String address, HttpConnection c, ConnectionCallback callback, Runnable onFailed) {
+        if (mOpenCount >= mMaxOpen) {
+            failLater(callback, onFailed, mOpenCount + " connections open, limit reached");
+            return;
+        }
         Bootstrap b = mBootstrap.clone();
         b.handler(
                 new ChannelInitializer<Channel>() {
@@ -86,14 +98,11 @@
         ChannelFuture connecting = b.connect(Addresses.parse(address));
         if (connecting.isDone() && !connecting.channel().isRegistered()) {
             // Such a channel has no event loop, and its listeners would run on another thread.
-            String detail = detailOf(connecting.cause());
-            mLoop.execute(
-                    () -> {
-                        onFailed.run();
-                        callback.onConnectionFailed(ExchangeFailure.NO_SOCKET, detail);
-                    });
+            failLater(callback, onFailed, detailOf(connecting.cause()));
             return;
         }
+        mOpenCount++;
+        connecting.channel().closeFuture().addListener(f -> mOpenCount--);
         Future<?> timeout =
                 ReadBarrier.of(mLoop).schedule(mConnectTimeoutMillis, () -> abort(connecting));
         connecting.addListener(
@@ -109,6 +118,14 @@
                 });
     }
 
+    private void failLater(ConnectionCallback callback, Runnable onFailed, String detail) {
+        mLoop.execute(
+                () -> {
+                    onFailed.run();
+                    callback.onConnectionFailed(ExchangeFailure.NO_SOCKET, detail);
+                });
+    }
+
     /** Fails a connection attempt that has not completed. */
     private static void abort(ChannelFuture connecting) {
         if (!connecting.isDone()) {
